--- /dev/null
+++ b/src/api/api.cpp
@@ -0,0 +1,175 @@
+#include "api/api.h"
+
+#include "base/log.h"
+
+namespace beaconsill::api {
+namespace {
+
+using net::Response;
+constexpr std::string_view kJobs = "/v1/jobs";
+constexpr std::string_view kCancel = "/withdraw";
+// A change that would wait longer than this for the state service's budget is refused at once.
+constexpr Duration kMaxWriteWait = std::chrono::milliseconds(1200);
+
+Response later(std::string_view reason, int after_s = 1) {
+  return {503, wire::render_error(reason), after_s};
+}
+
+}  // namespace
+
+Api::Api(const Clock& clock, const config::Settings& settings, std::shared_ptr<store::StoreClient> store,
+         std::shared_ptr<store::Mirror> mirror, Hooks hooks)
+    : clock_(clock), settings_(settings), store_(std::move(store)), mirror_(std::move(mirror)), hooks_(std::move(hooks)) {}
+
+bool Api::is_user_path(const std::string& path) {
+  return path.starts_with(kJobs);
+}
+
+void Api::handle(const net::Request& r, net::HttpServer::Reply reply) {
+  if (r.path == "/up") {
+    if (r.method != "GET") return reply({405, "{}"});
+    return reply(hooks_.healthy() ? Response{200, "{}"} : later("not ready"));
+  }
+  if (r.path == kJobs) {
+    if (r.method != "POST") return reply({405, "{}"});
+    return submit(r, std::move(reply));
+  }
+  if (!r.path.starts_with(std::string(kJobs) + '/')) return reply({404, "{}"});
+  std::string_view rest = std::string_view(r.path).substr(kJobs.size() + 1);
+  bool to_cancel = rest.ends_with(kCancel);
+  if (to_cancel) rest.remove_suffix(kCancel.size());
+  // An id in any other form was never accepted.
+  if (!wire::valid_job_id(rest)) return reply({404, wire::render_error("no such job")});
+  JobId id{std::string(rest)};
+  if (to_cancel) {
+    if (r.method != "POST") return reply({405, "{}"});
+    return cancel(id, std::move(reply));
+  }
+  if (r.method != "GET") return reply({405, "{}"});
+  status(id, std::move(reply));
+}
+
+std::optional<wire::JobState> Api::state(const JobId& id) const {
+  const auto& view = mirror_->view();
+  if (auto end = view.end(id)) return *end == store::End::kDone ? wire::JobState::kDone : wire::JobState::kCancelled;
+  if (!view.job(id)) return std::nullopt;
+  return hooks_.running(id) > 0 ? wire::JobState::kRunning : wire::JobState::kQueued;
+}
+
+Response Api::known(const JobId& id, wire::JobState s) const {
+  const auto& view = mirror_->view();
+  if (s == wire::JobState::kCancelled) hooks_.told(view.ending(id).version);
+  std::uint32_t done = 0;
+  if (view.ending(id).exists()) {
+    done = view.ending(id).value.done;
+  } else if (const auto* job = view.job(id)) {
+    done = job->done().count();
+  }
+  bool over = s == wire::JobState::kDone || s == wire::JobState::kCancelled;
+  return {200, wire::render_status(id, s, done, over ? 0 : hooks_.running(id))};
+}
+
+bool Api::overloaded() const {
+  return store_->write_wait(store::Urgency::kUser) > kMaxWriteWait;
+}
+
+void Api::submit(const net::Request& r, net::HttpServer::Reply reply) {
+  wire::JobSpec spec;
+  try {
+    spec = wire::parse_job(wire::parse_object(r.body));
+  } catch (const wire::WireError& e) {
+    return reply({400, wire::render_error(e.what())});
+  }
+  if (!mirror_->ready()) return reply(later("starting"));
+  JobId id = spec.id;
+  auto answer_known = [this, id, reply](bool fresh) {
+    if (auto s = state(id); fresh && s) return reply({200, wire::render_accepted(id, *s)});
+    reply(later("state not known"));
+  };
+  // What was accepted once is never judged again.
+  if (auto s = state(id)) {
+    if (*s == wire::JobState::kDone || *s == wire::JobState::kCancelled) return answer_known(true);
+    return mirror_->sync(answer_known);
+  }
+  auto verdict = admit(spec, settings_, hooks_.catalogue());
+  if (verdict.kind != Verdict::Kind::kAccept) {
+    // Another node may have accepted it, before the catalogue changed say: only what was read can tell.
+    return mirror_->sync([this, id, verdict, reply](bool fresh) {
+      if (!fresh) return reply(later("state service not reachable"));
+      if (auto s = state(id)) return reply({200, wire::render_accepted(id, *s)});
+      if (verdict.kind == Verdict::Kind::kNever) return reply({422, wire::render_error(verdict.reason)});
+      reply(later(verdict.reason, 5));
+    });
+  }
+  if (overloaded()) return reply(later("too many submissions", 2));
+  store::JobRecord record{std::make_shared<const wire::JobSpec>(std::move(spec)), clock_.wall()};
+  wire::Txn t;
+  t.conditions = {{store::job_key(id), Revision()}, {store::end_key(id), Revision()}};
+  t.writes = {{store::job_key(id), store::to_json(record), std::nullopt}};
+  store_->txn(t, store::Urgency::kUser, [this, t, id, reply, answer_known](store::TxnResult result) {
+    switch (result.outcome) {
+      case store::Outcome::kOk:
+        mirror_->apply_own(t, result.revision);
+        reply({201, wire::render_accepted(id, wire::JobState::kQueued)});
+        return hooks_.changed(result.revision);
+      case store::Outcome::kConflict:
+      case store::Outcome::kUnknown:
+        // Known already, or no answer: the truth is what is stored.
+        return mirror_->sync(answer_known);
+      default: return reply(later("state service not reachable"));
+    }
+  });
+}
+
+void Api::status(const JobId& id, net::HttpServer::Reply reply) {
+  auto answer = [this, id, reply](bool fresh) {
+    if (!fresh) return reply(later("state service not reachable"));
+    if (auto s = state(id)) return reply(known(id, *s));
+    reply({404, wire::render_error("no such job")});
+  };
+  if (!mirror_->ready()) return reply(later("starting"));
+  // A final state is final; everything else is read anew, since another node may have told something newer.
+  if (mirror_->view().end(id)) return answer(true);
+  mirror_->sync(answer);
+}
+
+void Api::cancel(const JobId& id, net::HttpServer::Reply reply) {
+  if (!mirror_->ready()) return reply(later("starting"));
+  if (auto s = state(id)) {
+    if (mirror_->view().end(id)) return reply(known(id, *s));
+    return do_cancel(id, std::move(reply));
+  }
+  mirror_->sync([this, id, reply](bool fresh) {
+    if (!fresh) return reply(later("state service not reachable"));
+    auto s = state(id);
+    if (!s) return reply({404, wire::render_error("no such job")});
+    if (mirror_->view().end(id)) return reply(known(id, *s));
+    do_cancel(id, reply);
+  });
+}
+
+void Api::do_cancel(const JobId& id, net::HttpServer::Reply reply) {
+  if (overloaded()) return reply(later("too many requests", 2));
+  const auto* job = mirror_->view().job(id);
+  wire::Txn t;
+  t.conditions = {{store::end_key(id), Revision()}, {store::job_key(id), job->created}};
+  t.writes = {{store::end_key(id), store::to_json(store::Ending{store::End::kCancelled, job->done().count()}),
+               std::nullopt}};
+  store_->txn(t, store::Urgency::kUser, [this, t, id, reply](store::TxnResult result) {
+    if (result.outcome == store::Outcome::kOk) {
+      mirror_->apply_own(t, result.revision);
+      hooks_.told(result.revision);
+      reply(known(id, wire::JobState::kCancelled));
+      return hooks_.changed(result.revision);
+    }
+    if (result.outcome != store::Outcome::kConflict && result.outcome != store::Outcome::kUnknown)
+      return reply(later("state service not reachable"));
+    mirror_->sync([this, id, reply](bool fresh) {
+      auto s = state(id);
+      if (fresh && s && mirror_->view().end(id)) return reply(known(id, *s));
+      reply(later("state not known"));
+    });
+  });
+}
+
+}  // namespace beaconsill::api
--- /dev/null
+++ b/src/cloud/client.h
@@ -0,0 +1,51 @@
+// Client of the cloud's API, within its limit of requests.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "net/http_client.h"
+#include "store/budget.h"
+#include "wire/cloud.h"
+
+namespace beaconsill::cloud {
+
+class CloudClient : public std::enable_shared_from_this<CloudClient> {
+ public:
+  CloudClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, double rps);
+
+  void catalogue(std::function<void(std::optional<wire::Catalogue>)> done);
+  // All pages.
+  void list(std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done);
+  // 200: true. Deletions go before everything else: tasks wait for them.
+  void remove(std::vector<MachineName> names, std::function<void(bool)> done);
+  enum class RentOutcome { kRented, kNoCapacity, kUnanswered };
+  void rent(const wire::RentRequest& r, std::function<void(RentOutcome, std::vector<MachineName>)> done);
+  void set_rate(double rps);
+  void stop();
+
+ private:
+  struct Job {
+    std::string method, target, body;
+    std::function<void(net::Result)> done;
+    Instant deadline;
+  };
+  void enqueue(bool first, std::string method, std::string target, std::string body,
+               std::function<void(net::Result)> done);
+  void pump();
+  void next_page(std::shared_ptr<std::vector<wire::ListedMachine>> so_far, std::optional<MachineName> after,
+                 std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done);
+
+  asio::io_context& io_;
+  const Clock& clock_;
+  std::shared_ptr<net::HttpClient> http_;
+  store::Budget budget_;
+  std::deque<Job> queue_;
+  asio::steady_timer timer_;
+  bool stopped_ = false;
+};
+
+}  // namespace beaconsill::cloud
--- /dev/null
+++ b/src/lead/capacity.cpp
@@ -0,0 +1,148 @@
+#include "lead/capacity.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.h"
+
+namespace beaconsill::lead {
+namespace {
+constexpr Duration kRefusalMemory = std::chrono::seconds(12);
+constexpr Duration kRentAgain = std::chrono::seconds(1);
+constexpr Duration kDeleteAgain = std::chrono::seconds(10);
+// Work that waits for less than this may yet fit where it was sent.
+constexpr Duration kPatience = std::chrono::milliseconds(1500);
+constexpr double kSlowBoot = 2.0;   // beyond so many boot times a machine isn't counted on
+constexpr double kNeverBoots = 6.0;  // beyond so many it's deleted
+}  // namespace
+
+Capacity::Capacity(CapacityParams params, std::string prefix) : params_(params), prefix_(std::move(prefix)) {}
+
+void Capacity::on_list(std::vector<wire::ListedMachine> machines, Instant now) {
+  listed_.clear();
+  for (auto& m : machines) {
+    if (m.state == wire::MachineState::kBooting) {
+      auto rented = now - from_seconds(m.age_s);
+      coming_[m.name] = {{m.type, m.zone, m.spot}, rented};
+    } else {
+      coming_.erase(m.name);
+    }
+    auto name = m.name;
+    listed_[std::move(name)] = std::move(m);
+  }
+  // Rented long ago and still not listed: it came and went.
+  std::erase_if(coming_, [&](const auto& c) {
+    return !listed_.contains(c.first) && now - c.second.rented > params_.list_lag * 3 + std::chrono::seconds(5);
+  });
+  std::erase_if(deleted_, [&](const auto& d) { return now - d.second > kDeleteAgain; });
+}
+
+std::uint32_t Capacity::coming_room(const wire::Shape& s, Instant now) const {
+  std::uint32_t n = 0;
+  for (const auto& [name, c] : coming_) {
+    auto t = catalogue_->find(c.kind.type);
+    if (t == catalogue_->end() || !part::allowed(s, c.kind.type, c.kind.zone, c.kind.spot)) continue;
+    if (to_seconds(now - c.rented) > t->second.boot_s * kSlowBoot) continue;
+    n += std::min(part::fits(t->second.total, s.each), params_.task_cap);
+  }
+  return n;
+}
+
+std::optional<wire::RentRequest> Capacity::rent(const std::vector<Demand>& demand, Instant now) {
+  if (!catalogue_ || sent_ || now < again_) return std::nullopt;
+  if (under_way_) {
+    sent_ = true;
+    return under_way_;
+  }
+  // Each shape's lack of room; shapes share what is coming, so it is counted off once.
+  double coming_used = 0;
+  for (const auto& d : demand) {
+    if (d.waited < kPatience || d.shape.wanted == 0) continue;
+    double each = std::max(d.shape.each.cpus, 0.01);
+    double coming = coming_room(d.shape, now) - coming_used / each;
+    double lack = d.shape.wanted - std::max(0.0, coming);
+    coming_used += d.shape.wanted * each;
+    if (lack <= 0) continue;
+    struct Candidate {
+      double cost;
+      std::size_t ours;
+      Kind kind;
+      std::uint32_t fits;
+    };
+    std::optional<Candidate> best;
+    for (const auto& [name, t] : *catalogue_) {
+      auto fits = std::min(part::fits(t.total, d.shape.each), params_.task_cap);
+      if (fits == 0) continue;
+      for (const auto& z : t.zones) {
+        for (bool spot : {false, true}) {
+          Kind kind{name, z, spot};
+          if (!part::allowed(d.shape, name, z, spot)) continue;
+          if (auto r = refused_.find(kind); r != refused_.end() && now - r->second < kRefusalMemory) continue;
+          auto ours = static_cast<std::size_t>(std::count_if(listed_.begin(), listed_.end(), [&](const auto& m) {
+            return m.second.zone == z && m.second.type == name && m.second.spot == spot;
+          }));
+          Candidate c{(spot ? t.spot_price : t.price) / fits, ours, kind, fits};
+          if (!best || std::tie(c.cost, c.ours) < std::tie(best->cost, best->ours)) best = c;
+        }
+      }
+    }
+    if (!best) continue;
+    auto count = static_cast<std::uint32_t>(
+        std::clamp(std::ceil(lack / best->fits), 1.0, static_cast<double>(wire::kMaxRent)));
+    under_way_ = wire::RentRequest{prefix_ + std::to_string(next_++), best->kind.type, best->kind.zone,
+                                   best->kind.spot, count};
+    sent_ = true;
+    return under_way_;
+  }
+  return std::nullopt;
+}
+
+void Capacity::on_rented(const wire::RentRequest& r, const std::vector<MachineName>& names, Instant now) {
+  sent_ = false;
+  under_way_.reset();
+  Kind kind{r.type, r.zone, r.spot};
+  for (const auto& n : names) coming_[n] = {kind, now};
+  if (names.size() < r.count) refused_[kind] = now;
+  spdlog::info("rented {} of {} {} in {}{}", names.size(), r.count, r.type.value(), r.zone.value(),
+               r.spot ? " (spot)" : "");
+}
+
+void Capacity::on_refused(const wire::RentRequest& r, Instant now) {
+  sent_ = false;
+  under_way_.reset();
+  refused_[{r.type, r.zone, r.spot}] = now;
+}
+
+void Capacity::on_unanswered(Instant now) {
+  sent_ = false;
+  again_ = now + kRentAgain;
+}
+
+std::vector<MachineName> Capacity::dead(Instant now) {
+  std::vector<MachineName> out;
+  if (!catalogue_) return out;
+  for (const auto& [name, m] : listed_) {
+    if (deleted_.contains(name) || out.size() >= wire::kMaxDelete) continue;
+    auto t = catalogue_->find(m.type);
+    double boot = t == catalogue_->end() ? 60 : t->second.boot_s;
+    bool never = m.state == wire::MachineState::kBooting && m.age_s > boot * kNeverBoots;
+    if (m.state != wire::MachineState::kFailed && !never) continue;
+    spdlog::info("{}: {}, to be deleted", name.value(), never ? "never came up" : "failed");
+    deleted_[name] = now;
+    coming_.erase(name);
+    out.push_back(name);
+  }
+  return out;
+}
+
+std::vector<MachineName> Capacity::surplus(const std::map<PartId, wire::Summary>& summaries, bool demand,
+                                           Instant) const {
+  std::vector<MachineName> out;
+  if (demand) return out;
+  for (const auto& [part, s] : summaries)
+    for (const auto& m : s.machines)
+      if (m.usable && m.idle_s > to_seconds(params_.idle_return)) out.push_back(m.name);
+  return out;
+}
+
+}  // namespace beaconsill::lead
--- /dev/null
+++ b/src/lead/lead.cpp
@@ -0,0 +1,320 @@
+#include "lead/lead.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.h"
+
+namespace beaconsill::lead {
+namespace {
+
+constexpr std::size_t kJobsPerRound = 24;
+constexpr std::size_t kShapesPerRound = 16;
+// Tasks of one job that may be out at once: bounds the values in the state service.
+constexpr std::uint32_t kWindow = 2000;
+constexpr Duration kMinGap = std::chrono::milliseconds(20);
+constexpr double kSlack = 1e-6;
+
+std::uint32_t up(double x) {
+  return x <= 0 ? 0 : static_cast<std::uint32_t>(std::ceil(x - kSlack));
+}
+
+}  // namespace
+
+Lead::Lead(LeadParams params, std::vector<config::TeamSettings> teams, std::vector<config::Objective> objectives)
+    : params_(params), teams_(std::move(teams)), objectives_(std::move(objectives)) {}
+
+std::int64_t Lead::due(const wire::JobSpec& spec, WallMs submitted) const {
+  double s = 3600;
+  if (spec.deadline_s) {
+    s = *spec.deadline_s;
+  } else {
+    for (const auto& o : objectives_)
+      if (o.job_class == spec.job_class && o.within_s > 0) s = std::min(s, o.within_s);
+  }
+  return submitted.value() + static_cast<std::int64_t>(s * 1000);
+}
+
+void Lead::ledger(const Entry& e, int sign) {
+  usage_[e.record.spec->team] += e.record.spec->each * (sign * static_cast<double>(e.outstanding));
+}
+
+Resources Lead::usage(const Team& team) const {
+  auto it = usage_.find(team);
+  return it == usage_.end() ? Resources{} : it->second;
+}
+
+void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now, WallMs) {
+  auto it = jobs_.find(id);
+  if (it != jobs_.end()) ledger(it->second, -1);
+  if (!job || !job->record.spec) {
+    if (it != jobs_.end()) jobs_.erase(it);
+    return;
+  }
+  bool fresh = it == jobs_.end();
+  auto& e = jobs_[id];
+  auto had_pending = e.pending.count();
+  e.record = job->record;
+  e.end = end;
+  e.grants = job->grants.value;
+  e.grants_version = job->grants.version;
+  e.granted_once = job->grants.exists();
+  e.done = job->done();
+  e.live.clear();
+  Ranges out;
+  for (const auto& c : e.grants.chunks) {
+    Ranges r = c.tasks;
+    if (auto p = job->progress.find(c.part); p != job->progress.end())
+      r.remove(store::given_back(p->second.value, c.generation));
+    r.remove(e.done);
+    if (r.empty()) continue;
+    out.add(r);
+    e.live.emplace_back(std::move(r), c);
+  }
+  e.outstanding = out.count();
+  e.pending = Ranges();
+  if (!end) {
+    e.pending = Ranges::span(0, e.record.spec->tasks);
+    e.pending.remove(e.done);
+    e.pending.remove(out);
+  }
+  e.due_ms = due(*e.record.spec, e.record.submitted);
+  if (fresh || (had_pending == 0 && !e.pending.empty())) e.waiting_since = now;
+  // A new job, or a replica that lost its machine, is asked about at once.
+  if (!e.pending.empty() && (!e.granted_once || (e.record.spec->kind == JobKind::kService && e.pending.count() > had_pending)))
+    urgent_ = true;
+  ledger(e, +1);
+}
+
+void Lead::on_summary(const wire::Summary& s, Instant) {
+  auto& have = summaries_[s.part];
+  if (s.term >= have.term) have = s;
+}
+
+void Lead::on_answer(const wire::Answer& a, Instant) {
+  if (!round_ || a.round != round_->id || a.rooms.size() != round_->shapes.size()) return;
+  if (!round_->asked.contains(a.part)) return;
+  round_->answers[a.part] = a.rooms;
+  std::erase_if(sent_[a.part], [&](const Sent& s) { return s.revision <= a.seen; });
+}
+
+std::vector<JobId> Lead::order(Instant) const {
+  std::vector<QueuedJob> waiting;
+  for (const auto& [id, e] : jobs_) {
+    if (e.pending.empty() || e.end || e.record.spec->kind == JobKind::kGang) continue;
+    auto n = std::min(e.pending.count(), allowed_by_quota(e, usage_));
+    if (n == 0) continue;
+    waiting.push_back({id, e.record.spec->team, e.record.spec->priority, e.due_ms,
+                       e.record.spec->each * static_cast<double>(n)});
+  }
+  return serve_order(std::move(waiting), teams_, usage_);
+}
+
+std::optional<wire::Ask> Lead::begin_round(Instant now, const std::set<PartId>& reachable) {
+  if (round_) return std::nullopt;
+  // Between rounds for work that didn't fit a report period passes, unless something new came.
+  if (now - last_round_ < (urgent_ ? kMinGap : params_.report_period / 2)) return std::nullopt;
+  Round r;
+  for (const auto& id : order(now)) {
+    auto shape = part::shape_of(*jobs_.at(id).record.spec, 0);
+    auto it = std::find(r.shapes.begin(), r.shapes.end(), shape);
+    if (it == r.shapes.end()) {
+      if (r.shapes.size() >= kShapesPerRound) continue;
+      it = r.shapes.insert(it, shape);
+    }
+    r.shape_of.push_back(static_cast<std::size_t>(it - r.shapes.begin()));
+    r.jobs.push_back(id);
+    if (r.jobs.size() >= kJobsPerRound) break;
+  }
+  urgent_ = false;
+  if (r.jobs.empty()) return std::nullopt;
+  r.id = next_round_++;
+  r.began = now;
+  r.asked = reachable;
+  last_round_ = now;
+  wire::Ask ask{r.id, r.shapes};
+  round_ = std::move(r);
+  return ask;
+}
+
+std::uint32_t Lead::allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const {
+  const auto& spec = *e.record.spec;
+  double n = kWindow > e.outstanding ? kWindow - e.outstanding : 0;
+  for (const auto& t : teams_) {
+    if (t.name != spec.team) continue;
+    auto it = usage.find(t.name);
+    Resources used = it == usage.end() ? Resources{} : it->second;
+    if (t.cpus_max > 0 && spec.each.cpus > 0)
+      n = std::min(n, std::floor((t.cpus_max - used.cpus) / spec.each.cpus + kSlack));
+    if (t.gpus_max > 0 && spec.each.gpus > 0)
+      n = std::min(n, std::floor((t.gpus_max - used.gpus) / spec.each.gpus + kSlack));
+  }
+  return n <= 0 ? 0 : static_cast<std::uint32_t>(n);
+}
+
+std::optional<std::vector<Lead::Grant>> Lead::decide(Instant now, const std::map<PartId, Term>& terms) {
+  if (!round_ || round_->writing) return std::nullopt;
+  auto& r = *round_;
+  bool all = std::all_of(r.asked.begin(), r.asked.end(), [&](PartId p) { return r.answers.contains(p); });
+  if (!all && now - r.began < params_.reply_wait) return std::nullopt;
+
+  std::map<Team, Resources> usage = usage_;
+  std::map<PartId, double> taken;  // CPUs given in this round or not yet seen by the part
+  std::map<std::pair<PartId, Zone>, double> taken_in_zone;
+  std::vector<Grant> grants;
+  for (const auto& [part, sent] : sent_)
+    for (const auto& s : sent) taken[part] += s.cpus;
+
+  for (std::size_t i = 0; i < r.jobs.size() && grants.size() < params_.max_writes; ++i) {
+    auto job = jobs_.find(r.jobs[i]);
+    if (job == jobs_.end() || job->second.end || job->second.pending.empty()) continue;
+    auto& e = job->second;
+    const auto& spec = *e.record.spec;
+    std::uint32_t want = std::min(e.pending.count(), allowed_by_quota(e, usage));
+    if (want == 0) continue;
+
+    // The zones that the job's other tasks leave open to it.
+    bool zoned = spec.one_zone || spec.spread;
+    std::map<Zone, std::uint32_t> in_zone;
+    if (zoned)
+      for (const auto& [tasks, chunk] : e.live)
+        if (chunk.zone) in_zone[*chunk.zone] += tasks.count();
+
+    std::vector<Room> warm, free, preemptible;
+    for (const auto& [part, term] : terms) {
+      wire::ShapeRoom rooms;
+      if (auto a = r.answers.find(part); a != r.answers.end()) {
+        rooms = a->second[r.shape_of[i]];
+      } else if (auto s = summaries_.find(part); s != summaries_.end()) {
+        rooms = part::estimate(s->second, r.shapes[r.shape_of[i]], params_.rules);
+      }
+      std::uint32_t less = spec.each.cpus > 0 ? up(taken[part] / spec.each.cpus) : 0;
+      auto add = [&](std::vector<Room>& list, std::optional<Zone> zone, std::uint32_t n) {
+        if (n > 0) list.push_back({part, std::move(zone), n});
+      };
+      std::uint32_t part_warm = 0, part_free = 0, part_pre = 0;
+      for (const auto& z : rooms) {
+        if (zoned) {
+          auto lessz = std::min(z.free, less);
+          less -= lessz;
+          add(free, z.zone, z.free - lessz);
+          add(preemptible, z.zone, z.preemptible);
+        }
+        part_warm += z.warm;
+        part_free += z.free;
+        part_pre += z.preemptible;
+      }
+      if (!zoned) {
+        add(warm, std::nullopt, part_warm > less ? part_warm - less : 0);
+        add(free, std::nullopt, part_free > less ? part_free - less : 0);
+        add(preemptible, std::nullopt, part_pre);
+      }
+    }
+    auto sum = [](const std::vector<Room>& rooms) {
+      std::uint64_t s = 0;
+      for (const auto& x : rooms) s += x.room;
+      return s;
+    };
+    if (spec.one_zone) {
+      // All in one zone: that of its tasks that are out, or else the roomiest.
+      std::map<Zone, std::uint64_t> by_zone;
+      for (const auto& x : free) by_zone[*x.zone] += x.room;
+      std::optional<Zone> zone;
+      if (!in_zone.empty()) {
+        zone = in_zone.begin()->first;
+      } else {
+        std::uint64_t best = 0;
+        for (const auto& [z, n] : by_zone)
+          if (n > best) best = n, zone = z;
+      }
+      auto elsewhere = [&](const Room& x) { return !zone || *x.zone != *zone; };
+      std::erase_if(free, elsewhere);
+      std::erase_if(preemptible, elsewhere);
+    }
+    if (spec.spread) {
+      auto limit = zone_limit(spec);
+      auto left = in_zone;
+      for (auto* list : {&free, &preemptible})
+        for (auto& x : *list) {
+          auto& n = left[*x.zone];
+          x.room = n >= limit ? 0 : std::min(x.room, limit - n);
+          n += x.room;
+        }
+    }
+    // Room where the image already is goes first: a fetch takes longer than anything else on the way to a start.
+    auto shares = split(want, sum(warm) >= want ? warm : free);
+    std::uint32_t placed = 0;
+    for (const auto& s : shares) placed += s.tasks;
+    std::vector<Share> by_force;
+    if (placed < want && spec.priority > Priority::kLow) by_force = split(want - placed, preemptible);
+    if (shares.empty() && by_force.empty()) continue;
+
+    Grant g{job->first, {}, e.grants_version};
+    g.grants.last = e.grants.last;
+    for (const auto& [tasks, chunk] : e.live) {
+      g.grants.chunks.push_back(chunk);
+      g.grants.chunks.back().tasks = tasks;
+    }
+    Ranges pending = e.pending;
+    auto give = [&](const std::vector<Share>& list, bool force) {
+      for (const auto& s : list) {
+        g.grants.last = Generation(g.grants.last.value() + 1);
+        g.grants.chunks.push_back({g.grants.last, s.part, terms.at(s.part), pending.take(s.tasks), s.zone, force, {}});
+        taken[s.part] += spec.each.cpus * s.tasks;
+        usage[spec.team] += spec.each * static_cast<double>(s.tasks);
+      }
+    };
+    give(shares, false);
+    give(by_force, true);
+    grants.push_back(std::move(g));
+  }
+  if (grants.empty()) {
+    round_.reset();
+    return grants;
+  }
+  r.writing = true;
+  return grants;
+}
+
+void Lead::on_granted(const std::vector<Grant>& grants, std::optional<Revision> revision, Instant) {
+  bool more = round_ && grants.size() >= params_.max_writes;
+  round_.reset();
+  if (more) urgent_ = true;
+  if (!revision) return;
+  for (const auto& g : grants) {
+    auto it = jobs_.find(g.job);
+    if (it == jobs_.end()) continue;
+    for (const auto& c : g.grants.chunks)
+      if (c.generation > it->second.grants.last)
+        sent_[c.part].push_back({*revision, it->second.record.spec->each.cpus * c.tasks.count()});
+  }
+}
+
+std::vector<JobId> Lead::finished() const {
+  std::vector<JobId> out;
+  for (const auto& [id, e] : jobs_)
+    if (!e.end && e.record.spec->kind != JobKind::kService && e.done.count() == e.record.spec->tasks) out.push_back(id);
+  return out;
+}
+
+std::vector<JobId> Lead::drained() const {
+  std::vector<JobId> out;
+  for (const auto& [id, e] : jobs_)
+    if (e.end && e.outstanding == 0) out.push_back(id);
+  return out;
+}
+
+std::vector<Demand> Lead::demand(Instant now) const {
+  std::vector<Demand> out;
+  auto usage = usage_;
+  for (const auto& [id, e] : jobs_) {
+    if (e.pending.empty() || e.end) continue;
+    auto n = std::min(e.pending.count(), allowed_by_quota(e, usage));
+    if (n == 0) continue;
+    usage[e.record.spec->team] += e.record.spec->each * static_cast<double>(n);
+    out.push_back({part::shape_of(*e.record.spec, n), now - e.waiting_since});
+  }
+  return out;
+}
+
+}  // namespace beaconsill::lead
--- /dev/null
+++ b/src/lead/lead.h
@@ -0,0 +1,114 @@
+// The leader: a state machine that holds the queue and the ledger, asks the parts and splits by their answers.
+// It has no sockets; the node carries its wishes out.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "config/settings.h"
+#include "lead/queue.h"
+#include "lead/split.h"
+#include "part/estimator.h"
+#include "store/view.h"
+#include "wire/peer.h"
+
+namespace beaconsill::lead {
+
+struct LeadParams {
+  Duration reply_wait{};
+  Duration report_period{};
+  part::RoomRules rules;
+  std::uint32_t parts = 1;
+  std::size_t max_writes = 8;  // grants in one transaction
+};
+
+// What waits: for the capacity duty.
+struct Demand {
+  wire::Shape shape;  // `wanted`: tasks that wait and that the team's limit allows
+  Duration waited{};
+};
+
+class Lead {
+ public:
+  Lead(LeadParams params, std::vector<config::TeamSettings> teams, std::vector<config::Objective> objectives);
+
+  // ---- What happens
+  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now, WallMs wall);
+  void on_summary(const wire::Summary& s, Instant now);
+  void on_answer(const wire::Answer& a, Instant now);
+
+  // ---- Rounds
+  // Starts one if there is something to grant and its time has come. `reachable`: parts worth waiting for.
+  std::optional<wire::Ask> begin_round(Instant now, const std::set<PartId>& reachable);
+  struct Grant {
+    JobId job;
+    store::Grants grants;
+    Revision expected;  // version of the grants that it replaces
+  };
+  // The round's outcome, once every part has answered or was waited for long enough. `terms`: of each part.
+  std::optional<std::vector<Grant>> decide(Instant now, const std::map<PartId, Term>& terms);
+  // The transaction of the round's grants ended; `revision` if it was applied.
+  void on_granted(const std::vector<Grant>& grants, std::optional<Revision> revision, Instant now);
+  bool round_open() const { return round_.has_value(); }
+
+  // ---- Outcomes
+  // Jobs all of whose tasks are done, to be recorded as such.
+  std::vector<JobId> finished() const;
+  // Jobs that are over and none of whose tasks can be anywhere: their keys can be dropped.
+  std::vector<JobId> drained() const;
+
+  // ---- Questions
+  std::vector<Demand> demand(Instant now) const;
+  const std::map<PartId, wire::Summary>& summaries() const { return summaries_; }
+  Resources usage(const Team& team) const;
+
+ private:
+  struct Entry {
+    store::JobRecord record;
+    std::optional<store::End> end;
+    store::Grants grants;
+    Revision grants_version;
+    Ranges pending;
+    Ranges done;
+    std::vector<std::pair<Ranges, store::Chunk>> live;  // chunks less what was done or returned
+    std::uint32_t outstanding = 0;
+    std::int64_t due_ms = 0;
+    bool granted_once = false;
+    Instant waiting_since{};
+  };
+  struct Sent {
+    Revision revision;
+    double cpus;
+  };
+  struct Round {
+    std::uint64_t id = 0;
+    Instant began{};
+    std::vector<JobId> jobs;
+    std::vector<std::size_t> shape_of;
+    std::vector<wire::Shape> shapes;
+    std::set<PartId> asked;
+    std::map<PartId, std::vector<wire::ShapeRoom>> answers;
+    bool writing = false;
+  };
+
+  std::uint32_t allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const;
+  std::vector<JobId> order(Instant now) const;
+  void ledger(const Entry& e, int sign);
+  std::int64_t due(const wire::JobSpec& spec, WallMs submitted) const;
+
+  LeadParams params_;
+  std::vector<config::TeamSettings> teams_;
+  std::vector<config::Objective> objectives_;
+  std::map<JobId, Entry> jobs_;
+  std::map<Team, Resources> usage_;  // granted, and neither done nor returned
+  std::map<PartId, wire::Summary> summaries_;
+  std::map<PartId, std::vector<Sent>> sent_;  // grants that a part's answers may not reckon with yet
+  std::optional<Round> round_;
+  std::uint64_t next_round_ = 1;
+  Instant last_round_{};
+  bool urgent_ = false;  // something came that shouldn't wait for the next period
+};
+
+}  // namespace beaconsill::lead
--- /dev/null
+++ b/src/net/peer_link.h
@@ -0,0 +1,71 @@
+// Framed messages between controllers: four bytes of length (little endian), then the message.
+// Each node sends over connections that it opened itself and only receives on those that it accepted.
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/http.h"
+
+namespace beaconsill::net {
+
+constexpr std::size_t kMaxFrame = 1024 * 1024;
+
+// The sending side to one peer. Messages to a peer that can't be reached are dropped: they only make things quick.
+class PeerSender : public std::enable_shared_from_this<PeerSender> {
+ public:
+  PeerSender(asio::io_context& io, Tcp::endpoint to);
+  void start();
+  void send(std::string message);
+  void stop();
+  // Drops the connection and tries again: for a peer whose echoes no longer come.
+  void reset();
+  bool connected() const { return connected_; }
+
+ private:
+  void connect();
+  void again();
+  void write();
+
+  asio::io_context& io_;
+  Tcp::endpoint to_;
+  Tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::deque<std::string> queue_;
+  std::size_t queued_bytes_ = 0;
+  Duration backoff_;
+  std::uint64_t epoch_ = 0;  // of the connection: callbacks of an earlier one are ignored
+  std::array<char, 16> sink_;
+  bool connected_ = false;
+  bool stopped_ = false;
+};
+
+class PeerReceiver : public std::enable_shared_from_this<PeerReceiver> {
+ public:
+  using Handler = std::function<void(std::string_view)>;
+  PeerReceiver(asio::io_context& io, Tcp::endpoint at, std::size_t max_connections, Handler handler);
+  void start();
+  void stop();
+  Tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+
+ private:
+  class Connection;
+  void accept();
+
+  asio::io_context& io_;
+  Tcp::acceptor acceptor_;
+  asio::steady_timer pause_;
+  std::size_t max_;
+  Handler handler_;
+  std::deque<std::shared_ptr<Connection>> open_;  // the oldest first
+  bool stopped_ = false;
+};
+
+}  // namespace beaconsill::net
--- /dev/null
+++ b/src/node/leader_duty.cpp
@@ -0,0 +1,251 @@
+#include "node/leader_duty.h"
+
+#include <asio/post.hpp>
+
+#include "base/log.h"
+
+namespace beaconsill::node {
+namespace {
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kCapacityTick = std::chrono::milliseconds(500);
+constexpr Duration kListTick = std::chrono::milliseconds(2500);
+constexpr Duration kTidyTick = std::chrono::seconds(1);
+constexpr std::size_t kMaxGrants = 8;
+}  // namespace
+
+LeaderDuty::LeaderDuty(Context& ctx, PeersDuty& peers, WorkersDuty& workers)
+    : ctx_(ctx),
+      peers_(peers),
+      workers_(workers),
+      tick_(ctx.io, [this] { pump(); }),
+      capacity_tick_(ctx.io, [this] { capacity(); }),
+      list_tick_(ctx.io, [this] { list_machines(); }),
+      tidy_tick_(ctx.io, [this] { tidy(); }) {}
+
+void LeaderDuty::start() {
+  tick_.start(kTick);
+  capacity_tick_.start(kCapacityTick);
+  list_tick_.start(kListTick);
+  tidy_tick_.start(kTidyTick);
+}
+
+void LeaderDuty::stop() {
+  stopped_ = true;
+  tick_.stop();
+  capacity_tick_.stop();
+  list_tick_.stop();
+  tidy_tick_.stop();
+}
+
+void LeaderDuty::lead(Term term) {
+  term_ = term;
+  lead::LeadParams p;
+  p.reply_wait = ctx_.policy.reply_wait;
+  p.report_period = from_seconds(ctx_.settings.report_s);
+  p.rules = {ctx_.policy.task_cap, ctx_.policy.reserve};
+  p.parts = ctx_.parting.parts();
+  p.max_writes = std::min(kMaxGrants, ctx_.settings.txn_ops);
+  lead_ = std::make_unique<lead::Lead>(p, ctx_.settings.teams, ctx_.settings.objectives);
+  capacity_ = std::make_unique<lead::Capacity>(
+      lead::CapacityParams{ctx_.policy.idle_return, from_seconds(ctx_.settings.list_lag_s), ctx_.policy.task_cap},
+      "t" + std::to_string(term.value()) + "-");
+  capacity_->set_catalogue(ctx_.catalogue);
+  for (const auto& [part, s] : summaries_) lead_->on_summary(s, ctx_.now());
+  for (const auto& [id, job] : ctx_.view().jobs())
+    lead_->on_job(id, &job, ctx_.view().end(id), ctx_.now(), ctx_.clock.wall());
+  list_machines();
+  kick();
+}
+
+void LeaderDuty::unlead() {
+  lead_.reset();
+  capacity_.reset();
+  ending_.clear();
+  tidying_.clear();
+}
+
+std::optional<wire::Condition> LeaderDuty::still_leader() const {
+  const auto& role = ctx_.view().leader();
+  if (!lead_ || !role.exists() || role.value.term != term_) return std::nullopt;
+  return wire::Condition{store::leader_role_key(), role.version};
+}
+
+std::map<PartId, Term> LeaderDuty::terms() const {
+  std::map<PartId, Term> out;
+  for (std::uint32_t p = 0; p < ctx_.parting.parts(); ++p) {
+    const auto& role = ctx_.view().part_role(PartId(p));
+    if (role.exists()) out[PartId(p)] = role.value.term;
+  }
+  return out;
+}
+
+void LeaderDuty::on_view(const store::View::Touched& t) {
+  if (!lead_) return;
+  for (const auto& id : t.jobs)
+    lead_->on_job(id, ctx_.view().job(id), ctx_.view().end(id), ctx_.now(), ctx_.clock.wall());
+  if (!t.jobs.empty()) kick();
+}
+
+void LeaderDuty::on_answer(const wire::Answer& a) {
+  if (!lead_) return;
+  lead_->on_answer(a, ctx_.now());
+  kick();
+}
+
+void LeaderDuty::on_summary(const wire::Summary& s) {
+  summaries_[s.part] = s;
+  if (lead_) lead_->on_summary(s, ctx_.now());
+}
+
+void LeaderDuty::on_catalogue() {
+  if (capacity_) capacity_->set_catalogue(ctx_.catalogue);
+}
+
+void LeaderDuty::kick() {
+  if (kicked_ || stopped_) return;
+  kicked_ = true;
+  asio::post(ctx_.io, [this] {
+    kicked_ = false;
+    if (!stopped_) pump();
+  });
+}
+
+void LeaderDuty::pump() {
+  if (!lead_) return;
+  rounds();
+  write_ends();
+}
+
+void LeaderDuty::rounds() {
+  auto leader = still_leader();
+  if (!leader) return;
+  auto now = ctx_.now();
+  auto all = terms();
+  std::set<PartId> reachable;
+  for (const auto& [part, term] : all)
+    if (peers_.reachable(ctx_.view().part_role(part).value.node)) reachable.insert(part);
+  if (auto ask = lead_->begin_round(now, reachable)) {
+    peers_.broadcast(*ask);
+    workers_.on_ask(*ask, [this](wire::Answer a) { lead_->on_answer(a, ctx_.now()); });
+  }
+  auto grants = lead_->decide(now, all);
+  if (!grants || grants->empty()) return;
+  wire::Txn t;
+  t.conditions.push_back(*leader);
+  for (const auto& g : *grants) {
+    t.conditions.push_back({store::grants_key(g.job), g.expected});
+    t.conditions.push_back({store::end_key(g.job), Revision()});
+    t.writes.push_back({store::grants_key(g.job), store::to_json(g.grants), std::nullopt});
+  }
+  ctx_.store->txn(t, store::Urgency::kWork, [this, t, term = term_, grants = *grants](store::TxnResult r) {
+    if (!lead_ || term != term_) return;
+    if (r.outcome == store::Outcome::kOk) {
+      lead_->on_granted(grants, r.revision, ctx_.now());
+      ctx_.mirror->apply_own(t, r.revision);
+      peers_.broadcast(wire::Nudge{r.revision});
+      return kick();
+    }
+    // It may have been applied, or something else was: look before the next round.
+    ctx_.mirror->sync([this, term, grants](bool) {
+      if (lead_ && term == term_) lead_->on_granted(grants, std::nullopt, ctx_.now());
+    });
+  });
+}
+
+void LeaderDuty::write_ends() {
+  auto leader = still_leader();
+  if (!leader) return;
+  wire::Txn t;
+  std::vector<JobId> ids;
+  for (const auto& id : lead_->finished()) {
+    if (ending_.contains(id) || ids.size() >= kMaxGrants) continue;
+    const auto* job = ctx_.view().job(id);
+    if (!job) continue;
+    t.conditions.push_back({store::end_key(id), Revision()});
+    t.writes.push_back({store::end_key(id), store::to_json(store::Ending{store::End::kDone, job->record.spec->tasks}),
+                        std::nullopt});
+    ids.push_back(id);
+  }
+  if (ids.empty()) return;
+  t.conditions.push_back(*leader);
+  ending_.insert(ids.begin(), ids.end());
+  ctx_.store->txn(t, store::Urgency::kUser, [this, t, ids](store::TxnResult r) {
+    auto over = [this, ids] {
+      for (const auto& id : ids) ending_.erase(id);
+    };
+    if (r.outcome == store::Outcome::kOk) {
+      ctx_.mirror->apply_own(t, r.revision);
+      peers_.broadcast(wire::Nudge{r.revision});
+      return over();
+    }
+    ctx_.mirror->sync([over](bool) { over(); });
+  });
+}
+
+// Drops what is no longer needed of jobs that are over; how they ended is kept.
+void LeaderDuty::tidy() {
+  auto leader = still_leader();
+  if (!leader || !tidying_.empty()) return;
+  wire::Txn t;
+  t.conditions.push_back(*leader);
+  for (const auto& id : lead_->drained()) {
+    const auto* job = ctx_.view().job(id);
+    if (!job) continue;
+    std::vector<wire::Condition> keys{{store::job_key(id), job->created}};
+    if (job->grants.exists()) keys.push_back({store::grants_key(id), job->grants.version});
+    for (const auto& [part, p] : job->progress) keys.push_back({store::progress_key(part, id), p.version});
+    if (t.writes.size() + keys.size() > std::min<std::size_t>(ctx_.settings.txn_ops, 8)) {
+      if (t.writes.empty()) continue;
+      break;
+    }
+    for (auto& k : keys) {
+      t.writes.push_back({k.key, std::nullopt, std::nullopt});
+      t.conditions.push_back(std::move(k));
+    }
+    tidying_.insert(id);
+  }
+  if (t.writes.empty()) return;
+  ctx_.store->txn(t, store::Urgency::kTidy, [this, t](store::TxnResult r) {
+    if (r.outcome == store::Outcome::kOk) {
+      ctx_.mirror->apply_own(t, r.revision);
+      return tidying_.clear();
+    }
+    ctx_.mirror->sync([this](bool) { tidying_.clear(); });
+  });
+}
+
+void LeaderDuty::capacity() {
+  if (!lead_ || !still_leader()) return;
+  auto now = ctx_.now();
+  auto demand = lead_->demand(now);
+  if (auto r = capacity_->rent(demand, now)) {
+    ctx_.cloud->rent(*r, [this, req = *r, term = term_](cloud::CloudClient::RentOutcome o, std::vector<MachineName> names) {
+      if (!capacity_ || term != term_) return;
+      switch (o) {
+        case cloud::CloudClient::RentOutcome::kRented: return capacity_->on_rented(req, names, ctx_.now());
+        case cloud::CloudClient::RentOutcome::kNoCapacity: return capacity_->on_refused(req, ctx_.now());
+        case cloud::CloudClient::RentOutcome::kUnanswered: return capacity_->on_unanswered(ctx_.now());
+      }
+    });
+  }
+  if (auto dead = capacity_->dead(now); !dead.empty()) {
+    ctx_.cloud->remove(dead, [this, dead](bool ok) {
+      if (!ok || stopped_) return;
+      peers_.broadcast(wire::Gone{dead});
+      workers_.on_gone(dead);
+    });
+  }
+  if (auto idle = capacity_->surplus(lead_->summaries(), !demand.empty(), now); !idle.empty()) {
+    peers_.broadcast(wire::Release{idle});
+    workers_.on_release(idle);
+  }
+}
+
+void LeaderDuty::list_machines() {
+  if (!lead_) return;
+  ctx_.cloud->list([this](std::optional<std::vector<wire::ListedMachine>> machines) {
+    if (capacity_ && machines) capacity_->on_list(std::move(*machines), ctx_.now());
+  });
+}
+
+}  // namespace beaconsill::node
--- /dev/null
+++ b/src/node/leader_duty.h
@@ -0,0 +1,55 @@
+// The leader's duty: carries out what the leader's state machine wishes.
+#pragma once
+
+#include <memory>
+#include <set>
+
+#include "lead/capacity.h"
+#include "lead/lead.h"
+#include "node/context.h"
+#include "node/peers.h"
+#include "node/workers.h"
+
+namespace beaconsill::node {
+
+class LeaderDuty {
+ public:
+  LeaderDuty(Context& ctx, PeersDuty& peers, WorkersDuty& workers);
+  void start();
+  void stop();
+
+  void lead(Term term);
+  void unlead();
+  bool leading() const { return lead_ != nullptr; }
+
+  void on_view(const store::View::Touched& t);
+  void on_answer(const wire::Answer& a);
+  void on_summary(const wire::Summary& s);
+  void on_catalogue();
+  void kick();
+
+ private:
+  void pump();
+  void rounds();
+  void write_ends();
+  void tidy();
+  void capacity();
+  void list_machines();
+  std::map<PartId, Term> terms() const;
+  // The leader's transactions hold only while it's the leader.
+  std::optional<wire::Condition> still_leader() const;
+
+  Context& ctx_;
+  PeersDuty& peers_;
+  WorkersDuty& workers_;
+  Repeater tick_, capacity_tick_, list_tick_, tidy_tick_;
+  Term term_;
+  std::unique_ptr<lead::Lead> lead_;
+  std::unique_ptr<lead::Capacity> capacity_;
+  std::set<JobId> ending_, tidying_;
+  std::map<PartId, wire::Summary> summaries_;  // also while another leads
+  bool kicked_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace beaconsill::node
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,184 @@
+#include "node/node.h"
+
+#include "base/log.h"
+
+namespace beaconsill::node {
+namespace {
+
+constexpr Duration kSyncPeriod = std::chrono::milliseconds(400);
+constexpr Duration kCatalogueTick = std::chrono::seconds(1);
+constexpr Duration kCatalogueAge = std::chrono::seconds(60);
+constexpr Duration kShareTick = std::chrono::milliseconds(500);
+constexpr Duration kUnhealthyAfter = std::chrono::milliseconds(1500);
+
+net::Tcp::endpoint endpoint(const std::string& text, const char* field) {
+  auto e = net::parse_endpoint(text);
+  if (!e) throw config::ConfigError(std::string(field) + ": " + text + " is not an address");
+  return *e;
+}
+
+// Sockets: workers, peers, probes and this node's own requests keep theirs, users get the rest.
+net::ServerLimits server_limits(const config::Settings& s) {
+  net::ServerLimits l;
+  std::size_t own = 40 + 8 * s.peers.size();
+  std::size_t all = s.max_connections;
+  l.max_connections = all > 2 * own ? all - own - all / 8 : std::max<std::size_t>(all / 2, 8);
+  l.max_user_connections = l.max_connections - std::min(l.max_connections / 4, std::size_t{100});
+  return l;
+}
+
+}  // namespace
+
+Node::Node(asio::io_context& io, const Clock& clock, config::Settings settings, config::Policy policy)
+    : ctx_(io, clock, std::move(settings), policy),
+      catalogue_tick_(io, [this] { fetch_catalogue(); }),
+      summary_tick_(io, [this] { send_summaries(); }),
+      share_tick_(io, [this] { adjust_shares(); }) {
+  const auto& s = ctx_.settings;
+  auto state = endpoint(s.state, "external.state");
+  auto cloud = endpoint(s.cloud, "external.cloud");
+  endpoint(s.peer_listen, "internal_addr");
+  for (const auto& p : s.peers) endpoint(p.address, "known.peer_addr");
+  ctx_.store = std::make_shared<store::StoreClient>(
+      io, clock, state,
+      store::StoreLimits{s.state_rps, s.state_write_rps, s.txn_ops, static_cast<std::size_t>(s.value_kb * 1024)},
+      1.0 / static_cast<double>(s.controllers()));
+  ctx_.mirror = std::make_shared<store::Mirror>(io, clock, ctx_.store, kSyncPeriod,
+                                                [this](const store::View::Touched& t) { on_view(t); });
+  ctx_.cloud = std::make_shared<cloud::CloudClient>(io, clock, cloud, s.cloud_rps / static_cast<double>(s.controllers()));
+  peers_ = std::make_unique<PeersDuty>(ctx_, [this](const wire::PeerMessage& m) { on_peer(m); });
+  workers_ = std::make_unique<WorkersDuty>(ctx_, *peers_);
+  leader_ = std::make_unique<LeaderDuty>(ctx_, *peers_, *workers_);
+  roles_ = std::make_unique<RolesDuty>(ctx_, RolesDuty::Hooks{
+                                                 [this](PartId p, Term t) { workers_->own(p, t); },
+                                                 [this](PartId p) { workers_->disown(p); },
+                                                 [this](Term t) {
+                                                   leader_->lead(t);
+                                                   adjust_shares();
+                                                 },
+                                                 [this] { leader_->unlead(); },
+                                             });
+  api_ = std::make_unique<api::Api>(clock, ctx_.settings, ctx_.store, ctx_.mirror,
+                                    api::Api::Hooks{
+                                        [this] { return ctx_.catalogue.get(); },
+                                        [this](Revision r) { peers_->broadcast(wire::Nudge{r}); },
+                                        [this](Revision r) { peers_->told(r); },
+                                        [this](const JobId& id) { return running(id); },
+                                        [this] { return healthy(); },
+                                    });
+  server_ = std::make_shared<net::HttpServer>(
+      io, endpoint(s.listen, "bind"), server_limits(s),
+      [](const net::Request& r) { return api::Api::is_user_path(r.path); },
+      [this](net::Request r, net::HttpServer::Reply reply) { on_request(std::move(r), std::move(reply)); });
+}
+
+Node::~Node() = default;
+
+void Node::start() {
+  spdlog::info("{} in {}: {} controllers, {} teams", ctx_.settings.node.value(), ctx_.settings.zone.value(),
+               ctx_.settings.controllers(), ctx_.settings.teams.size());
+  peers_->start();
+  server_->start();
+  ctx_.mirror->start();
+  roles_->start();
+  workers_->start();
+  leader_->start();
+  catalogue_tick_.start(kCatalogueTick);
+  summary_tick_.start(ctx_.policy.summary_period);
+  share_tick_.start(kShareTick);
+}
+
+void Node::stop() {
+  if (stopped_) return;
+  stopped_ = true;
+  spdlog::info("stopping");
+  catalogue_tick_.stop();
+  summary_tick_.stop();
+  share_tick_.stop();
+  server_->stop();
+  leader_->stop();
+  workers_->stop();
+  roles_->stop();
+  peers_->stop();
+  ctx_.mirror->stop();
+  ctx_.store->stop();
+  ctx_.cloud->stop();
+}
+
+void Node::on_request(net::Request r, net::HttpServer::Reply reply) {
+  if (r.path == "/hello") return workers_->on_report(r, reply);
+  api_->handle(r, std::move(reply));
+}
+
+void Node::on_view(const store::View::Touched& t) {
+  if (stopped_) return;
+  if (t.roles) roles_->on_view();
+  workers_->on_view(t);
+  leader_->on_view(t);
+}
+
+void Node::on_peer(const wire::PeerMessage& m) {
+  if (const auto* nudge = std::get_if<wire::Nudge>(&m.body)) {
+    ctx_.mirror->nudge(nudge->revision);
+  } else if (const auto* ask = std::get_if<wire::Ask>(&m.body)) {
+    workers_->on_ask(*ask, [&](wire::Answer a) { peers_->send(m.from, std::move(a)); });
+  } else if (const auto* answer = std::get_if<wire::Answer>(&m.body)) {
+    leader_->on_answer(*answer);
+  } else if (const auto* summary = std::get_if<wire::Summary>(&m.body)) {
+    auto& counts = running_elsewhere_[summary->part];
+    counts.clear();
+    for (const auto& c : summary->running) counts[c.job] = c.running;
+    leader_->on_summary(*summary);
+  } else if (const auto* release = std::get_if<wire::Release>(&m.body)) {
+    workers_->on_release(release->machines);
+  } else if (const auto* gone = std::get_if<wire::Gone>(&m.body)) {
+    workers_->on_gone(gone->machines);
+  }
+}
+
+std::uint32_t Node::running(const JobId& id) const {
+  std::uint32_t n = workers_->running(id);
+  for (const auto& [part, counts] : running_elsewhere_) {
+    if (workers_->owns(part)) continue;
+    if (auto it = counts.find(id); it != counts.end()) n += it->second;
+  }
+  return n;
+}
+
+// Without its state service this node can only refuse: better that users go to one that is served. If all
+// are refused, going elsewhere doesn't help them.
+bool Node::healthy() const {
+  if (!ctx_.mirror->ready() || !ctx_.catalogue) return false;
+  return ctx_.now() - ctx_.mirror->word() < kUnhealthyAfter || !peers_->state_answers_others();
+}
+
+void Node::fetch_catalogue() {
+  if (fetching_ || (ctx_.catalogue && ctx_.now() - catalogue_at_ < kCatalogueAge)) return;
+  fetching_ = true;
+  ctx_.cloud->catalogue([this](std::optional<wire::Catalogue> c) {
+    fetching_ = false;
+    if (!c || stopped_) return;
+    catalogue_at_ = ctx_.now();
+    ctx_.catalogue = std::make_shared<const wire::Catalogue>(std::move(*c));
+    workers_->on_catalogue();
+    leader_->on_catalogue();
+  });
+}
+
+void Node::send_summaries() {
+  for (auto& s : workers_->summaries()) {
+    leader_->on_summary(s);
+    peers_->broadcast(std::move(s));
+  }
+}
+
+// The limits of state service and cloud hold for all nodes together: the leader, which writes most, gets half.
+void Node::adjust_shares() {
+  double n = static_cast<double>(ctx_.settings.controllers());
+  if (n < 2) return;
+  double share = leader_->leading() ? 0.5 : 0.5 / (n - 1);
+  ctx_.store->set_share(share);
+  ctx_.cloud->set_rate(ctx_.settings.cloud_rps * share);
+}
+
+}  // namespace beaconsill::node
--- /dev/null
+++ b/src/node/workers.cpp
@@ -0,0 +1,295 @@
+#include "node/workers.h"
+
+#include <asio/post.hpp>
+
+#include "base/log.h"
+
+namespace beaconsill::node {
+namespace {
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kCommandTimeout = std::chrono::seconds(2);
+// Tasks that completed are gathered this long for each job, unless something waits for them.
+constexpr Duration kGather = std::chrono::milliseconds(1000);
+// Left of the time for a cancellation after the word of it and the lease, for whatever is slow.
+constexpr double kCancelMargin_s = 3;
+}  // namespace
+
+WorkersDuty::WorkersDuty(Context& ctx, PeersDuty& peers)
+    : ctx_(ctx), peers_(peers), tick_(ctx.io, [this] { pump(); }) {}
+
+void WorkersDuty::start() {
+  tick_.start(kTick);
+}
+
+void WorkersDuty::stop() {
+  stopped_ = true;
+  tick_.stop();
+  for (auto& [name, c] : channels_) c.client->stop();
+  channels_.clear();
+}
+
+Instant WorkersDuty::word() const {
+  return std::max(ctx_.mirror->word(), peers_.word());
+}
+
+void WorkersDuty::own(PartId id, Term term) {
+  part::PartParams p;
+  p.report_period = from_seconds(ctx_.settings.report_s);
+  p.lease = from_seconds(ctx_.settings.lease_s);
+  p.cancel_limit = from_seconds(ctx_.settings.cancel_s);
+  p.grace = ctx_.policy.grace;
+  p.rules = {ctx_.policy.task_cap, ctx_.policy.reserve};
+  auto& o = parts_[id];
+  o = {};
+  o.part = std::make_unique<part::Part>(id, term, p, ctx_.now());
+  o.part->set_catalogue(ctx_.catalogue);
+  load_registry(id, *o.part);
+  for (const auto& [job, record] : ctx_.view().jobs())
+    o.part->on_job(job, &record, ctx_.view().end(job), ctx_.now());
+  kick();
+}
+
+void WorkersDuty::disown(PartId id) {
+  parts_.erase(id);
+}
+
+void WorkersDuty::load_registry(PartId id, part::Part& p) {
+  std::vector<store::MachineRecord> all;
+  for (std::uint32_t b = 0; b < store::kMachineBuckets; ++b) {
+    const auto& bucket = ctx_.view().machines(id, b);
+    all.insert(all.end(), bucket.value.begin(), bucket.value.end());
+  }
+  p.on_registry(all, ctx_.now());
+}
+
+WorkersDuty::Owned* WorkersDuty::find(PartId id, Term term) {
+  auto it = parts_.find(id);
+  return it == parts_.end() || it->second.part->term() != term ? nullptr : &it->second;
+}
+
+void WorkersDuty::on_report(const net::Request& r, const net::HttpServer::Reply& reply) {
+  if (r.method != "POST") return reply({405, "{}"});
+  wire::Report report;
+  try {
+    report = wire::parse_report(wire::parse_object(r.body));
+  } catch (const wire::WireError& e) {
+    spdlog::info("report dropped: {}", e.what());
+    return reply({400, wire::render_error(e.what())});
+  }
+  auto id = ctx_.parting.of(report.zone, report.machine);
+  auto it = parts_.find(id);
+  if (it == parts_.end()) {
+    const auto& role = ctx_.view().part_role(id);
+    std::optional<NodeName> owner;
+    if (role.exists() && role.value.node != ctx_.settings.node && ctx_.view().alive(role.value.node))
+      owner = role.value.node;
+    return reply({421, wire::render_redirect(owner)});
+  }
+  auto& part = *it->second.part;
+  // Without word of cancellations for this long, the leases of tasks that may be cancelled have to run out.
+  auto limit = from_seconds(ctx_.settings.cancel_s - ctx_.settings.lease_s - kCancelMargin_s);
+  if (ctx_.now() - word() > limit) return reply({503, wire::render_error("out of touch"), 1});
+  part.on_report(report, ctx_.now());
+  if (part.superseded()) {
+    ctx_.mirror->sync([](bool) {});
+    return reply({503, wire::render_error("superseded"), 1});
+  }
+  // A stale report is answered as well: its worker is there, and commands may have overtaken it.
+  if (!part.machines().contains(report.machine)) return reply({503, wire::render_error("machine is gone"), 1});
+  reply({200, wire::render_report_answer(part.answer(report.machine, ctx_.now()))});
+  kick();
+}
+
+void WorkersDuty::on_view(const store::View::Touched& t) {
+  for (auto& [id, o] : parts_) {
+    if (t.machines.contains(id)) load_registry(id, *o.part);
+    for (const auto& job : t.jobs) o.part->on_job(job, ctx_.view().job(job), ctx_.view().end(job), ctx_.now());
+  }
+  if (!t.jobs.empty() || !t.machines.empty()) kick();
+}
+
+void WorkersDuty::on_catalogue() {
+  for (auto& [id, o] : parts_) o.part->set_catalogue(ctx_.catalogue);
+  kick();
+}
+
+void WorkersDuty::on_ask(const wire::Ask& a, const std::function<void(wire::Answer)>& answer) {
+  for (auto& [id, o] : parts_) {
+    wire::Answer out{a.round, id, o.part->term(), ctx_.mirror->revision(), {}};
+    for (const auto& s : a.shapes) out.rooms.push_back(o.part->estimate(s, ctx_.now()));
+    answer(std::move(out));
+  }
+}
+
+void WorkersDuty::on_gone(const std::vector<MachineName>& names) {
+  for (auto& [id, o] : parts_)
+    for (const auto& n : names) o.part->on_deleted(n, ctx_.now());
+  for (const auto& n : names) {
+    auto it = channels_.find(n);
+    if (it == channels_.end()) continue;
+    auto client = it->second.client;
+    channels_.erase(it);
+    client->stop();
+  }
+  kick();
+}
+
+void WorkersDuty::on_release(const std::vector<MachineName>& names) {
+  for (auto& [id, o] : parts_)
+    for (const auto& n : names) o.part->release(n);
+  kick();
+}
+
+void WorkersDuty::kick() {
+  if (kicked_ || stopped_) return;
+  kicked_ = true;
+  asio::post(ctx_.io, [this] {
+    kicked_ = false;
+    if (!stopped_) pump();
+  });
+}
+
+void WorkersDuty::pump() {
+  for (auto& [id, o] : parts_) {
+    o.part->tick(ctx_.now(), word());
+    for (auto& b : o.part->take_batches(ctx_.now())) send(id, std::move(b));
+    write_registry(id, o);
+    write_progress(id, o);
+    remove_machines(id, o);
+  }
+}
+
+void WorkersDuty::send(PartId id, part::Part::Batch b) {
+  auto term = parts_.at(id).part->term();
+  auto& channel = channels_[b.machine];
+  auto at = net::parse_endpoint(b.address);
+  if (!at) {
+    spdlog::error("{}: address {} is not understood", b.machine.value(), b.address);
+    return;
+  }
+  if (channel.address != b.address) {
+    if (channel.client) channel.client->stop();
+    channel = {b.address, std::make_shared<net::HttpClient>(ctx_.io, *at, 1)};
+  }
+  auto body = wire::render_commands(b.token, b.session, b.commands);
+  channel.client->request("POST", "/do", std::move(body), kCommandTimeout,
+                          [this, id, term, b = std::move(b)](net::Result r) {
+                            auto* o = stopped_ ? nullptr : find(id, term);
+                            if (!o) return;
+                            auto result = part::Part::CommandResult::kNoAnswer;
+                            std::optional<wire::Report> report;
+                            if (r.status == 200 || r.status == 409) {
+                              try {
+                                report = wire::parse_report(wire::parse_object(r.body));
+                                result = r.status == 200 ? part::Part::CommandResult::kExecuted
+                                                         : part::Part::CommandResult::kRejected;
+                              } catch (const wire::WireError& e) {
+                                spdlog::error("{}: answer dropped: {}", b.machine.value(), e.what());
+                              }
+                            } else if (r.answered()) {
+                              spdlog::error("{}: commands were answered {}", b.machine.value(), r.status);
+                            } else {
+                              spdlog::debug("{}: commands had no answer", b.machine.value());
+                            }
+                            o->part->on_commands(b, result, report, ctx_.now());
+                            kick();
+                          });
+}
+
+void WorkersDuty::write_registry(PartId id, Owned& o) {
+  if (o.registering) return;
+  auto buckets = o.part->unregistered();
+  if (buckets.empty()) return;
+  const auto& role = ctx_.view().part_role(id);
+  if (!role.exists() || role.value.term != o.part->term()) return;
+  wire::Txn t;
+  t.conditions.push_back({store::part_role_key(id), role.version});
+  for (auto& [b, machines] : buckets) {
+    auto key = store::machines_key(id, b);
+    t.conditions.push_back({key, ctx_.view().machines(id, b).version});
+    t.writes.push_back({key, store::to_json(machines), std::nullopt});
+    if (t.writes.size() >= ctx_.settings.txn_ops) break;
+  }
+  o.registering = true;
+  auto term = o.part->term();
+  ctx_.store->txn(t, store::Urgency::kRole, [this, id, term, t](store::TxnResult r) {
+    if (r.outcome == store::Outcome::kOk) {
+      if (auto* x = find(id, term)) x->registering = false;
+      return ctx_.mirror->apply_own(t, r.revision);
+    }
+    ctx_.mirror->sync([this, id, term](bool) {
+      if (auto* x = find(id, term)) x->registering = false;
+    });
+  });
+}
+
+void WorkersDuty::write_progress(PartId id, Owned& o) {
+  if (o.writing) return;
+  auto unwritten = o.part->unwritten();
+  if (unwritten.empty()) return;
+  const auto& role = ctx_.view().part_role(id);
+  if (!role.exists() || role.value.term != o.part->term()) return;
+  auto now = ctx_.now();
+  wire::Txn t;
+  t.conditions.push_back({store::part_role_key(id), role.version});
+  for (auto& [job, progress] : unwritten) {
+    auto last = o.written.find(job);
+    if (last != o.written.end() && now - last->second < kGather && !o.part->finished_with(job)) continue;
+    const auto* record = ctx_.view().job(job);
+    if (!record) continue;
+    auto key = store::progress_key(id, job);
+    auto have = record->progress.find(id);
+    t.conditions.push_back({key, have == record->progress.end() ? Revision() : have->second.version});
+    t.writes.push_back({key, store::to_json(progress), std::nullopt});
+    o.written[job] = now;
+    if (t.writes.size() >= std::min<std::size_t>(ctx_.settings.txn_ops, 6)) break;
+  }
+  if (t.writes.empty()) return;
+  std::erase_if(o.written, [&](const auto& w) { return now - w.second > kGather * 4; });
+  o.writing = true;
+  auto term = o.part->term();
+  ctx_.store->txn(t, store::Urgency::kWork, [this, id, term, t](store::TxnResult r) {
+    if (r.outcome == store::Outcome::kOk) {
+      if (auto* x = find(id, term)) x->writing = false;
+      ctx_.mirror->apply_own(t, r.revision);
+      return peers_.broadcast(wire::Nudge{r.revision});
+    }
+    ctx_.mirror->sync([this, id, term](bool) {
+      if (auto* x = find(id, term)) x->writing = false;
+    });
+  });
+}
+
+void WorkersDuty::remove_machines(PartId id, Owned& o) {
+  auto names = o.part->take_deletions(ctx_.now());
+  if (names.empty()) return;
+  if (names.size() > wire::kMaxDelete) names.resize(wire::kMaxDelete);
+  auto term = o.part->term();
+  ctx_.cloud->remove(names, [this, id, term, names](bool ok) {
+    if (stopped_) return;
+    if (ok) {
+      peers_.broadcast(wire::Gone{names});
+      return on_gone(names);
+    }
+    spdlog::info("cloud: deletion of {} machines had no good answer, to be repeated", names.size());
+    if (auto* x = find(id, term))
+      for (const auto& n : names) x->part->on_delete_failed(n, ctx_.now());
+  });
+}
+
+std::vector<wire::Summary> WorkersDuty::summaries() const {
+  std::vector<wire::Summary> out;
+  for (const auto& [id, o] : parts_) {
+    out.push_back(o.part->summary(ctx_.now()));
+    out.back().seen = ctx_.mirror->revision();
+  }
+  return out;
+}
+
+std::uint32_t WorkersDuty::running(const JobId& id) const {
+  std::uint32_t n = 0;
+  for (const auto& [part, o] : parts_) n += o.part->running(id);
+  return n;
+}
+
+}  // namespace beaconsill::node
--- /dev/null
+++ b/src/node/workers.h
@@ -0,0 +1,66 @@
+// The owner's duty: answers the workers of this node's parts and carries out what their state machines wish.
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "net/http_server.h"
+#include "node/context.h"
+#include "node/peers.h"
+#include "part/part.h"
+
+namespace beaconsill::node {
+
+class WorkersDuty {
+ public:
+  WorkersDuty(Context& ctx, PeersDuty& peers);
+  void start();
+  void stop();
+
+  void own(PartId part, Term term);
+  void disown(PartId part);
+  bool owns(PartId part) const { return parts_.contains(part); }
+
+  void on_report(const net::Request& r, const net::HttpServer::Reply& reply);
+  void on_view(const store::View::Touched& t);
+  void on_catalogue();
+  void on_ask(const wire::Ask& a, const std::function<void(wire::Answer)>& answer);
+  void on_gone(const std::vector<MachineName>& names);
+  void on_release(const std::vector<MachineName>& names);
+  // Carries out whatever is to be done, soon.
+  void kick();
+  std::vector<wire::Summary> summaries() const;
+  std::uint32_t running(const JobId& id) const;
+
+ private:
+  struct Owned {
+    std::unique_ptr<part::Part> part;
+    bool writing = false;
+    bool registering = false;
+    std::map<JobId, Instant> written;  // when a job's progress was last written
+  };
+  struct Channel {
+    std::string address;
+    std::shared_ptr<net::HttpClient> client;
+  };
+  void pump();
+  void send(PartId part, part::Part::Batch b);
+  void write_progress(PartId part, Owned& o);
+  void write_registry(PartId part, Owned& o);
+  void remove_machines(PartId part, Owned& o);
+  void load_registry(PartId part, part::Part& p);
+  // All cancellations before this time are known.
+  Instant word() const;
+  // The part if it's still owned under this term.
+  Owned* find(PartId part, Term term);
+
+  Context& ctx_;
+  PeersDuty& peers_;
+  Repeater tick_;
+  std::map<PartId, Owned> parts_;
+  std::map<MachineName, Channel> channels_;
+  bool kicked_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace beaconsill::node
--- /dev/null
+++ b/src/part/estimator.cpp
@@ -0,0 +1,98 @@
+#include "part/estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace beaconsill::part {
+namespace {
+constexpr double kSlack = 1e-6;  // amounts are decimal numbers: 3 * 0.1 must fit into 0.3
+constexpr Duration kAvoidAfterError = std::chrono::seconds(60);
+
+wire::ShapeRoom as_list(const std::map<Zone, wire::ZoneRoom>& zones) {
+  wire::ShapeRoom out;
+  for (const auto& [z, r] : zones)
+    if (r.free || r.preemptible) out.push_back(r);
+  return out;
+}
+
+Resources open_to(const Resources& free, const Resources& total, const wire::Shape& s, const RoomRules& rules) {
+  Resources r = free;
+  if (s.priority <= Priority::kNormal) r.cpus -= total.cpus * rules.reserve;
+  return r;
+}
+}  // namespace
+
+wire::Shape shape_of(const wire::JobSpec& spec, std::uint32_t wanted) {
+  return {spec.each, spec.types, spec.zone, spec.spot, spec.image, spec.priority, wanted};
+}
+
+bool allowed(const wire::Shape& s, const MachineType& type, const Zone& zone, bool spot) {
+  if (spot && !s.spot) return false;
+  if (s.zone && *s.zone != zone) return false;
+  return !s.types || std::find(s.types->begin(), s.types->end(), type) != s.types->end();
+}
+
+std::uint32_t fits(const Resources& idle, const Resources& each) {
+  double n = wire::kMaxTasks;
+  auto limit = [&n](double have, double want) {
+    if (want > 0) n = std::min(n, std::floor(have / want + kSlack));
+  };
+  limit(idle.cpus, each.cpus);
+  limit(idle.gpus, each.gpus);
+  limit(idle.memory_gb, each.memory_gb);
+  return n <= 0 ? 0 : static_cast<std::uint32_t>(n);
+}
+
+std::uint32_t room_on(const Machine& m, const wire::Shape& s, const RoomRules& rules, bool preempt) {
+  Resources idle = m.total - (preempt ? m.used_from(s.priority) : m.used());
+  auto tasks = m.live_tasks();
+  std::uint32_t r1 = fits(open_to(idle, m.total, s, rules), s.each);
+  std::uint32_t r2 = tasks >= rules.task_cap ? 0 : rules.task_cap - static_cast<std::uint32_t>(tasks);
+  return std::min(r1, r2);
+}
+
+wire::ShapeRoom estimate(const std::map<MachineName, Machine>& machines, const wire::Shape& s, const RoomRules& rules,
+                         Instant now) {
+  std::map<Zone, wire::ZoneRoom> zones;
+  for (const auto& [name, m] : machines) {
+    if (!m.usable(now) || !allowed(s, m.type, m.zone, m.spot)) continue;
+    auto& z = zones[m.zone];
+    z.zone = m.zone;
+    auto n = room_on(m, s, rules, false);
+    z.free += n;
+    if (m.images.has(s.image)) z.warm += n;
+    z.preemptible += std::max(room_on(m, s, rules, true), n) - n;
+  }
+  return as_list(zones);
+}
+
+wire::ShapeRoom estimate(const wire::Summary& summary, const wire::Shape& s, const RoomRules& rules) {
+  std::map<Zone, wire::ZoneRoom> zones;
+  for (const auto& m : summary.machines) {
+    if (!m.usable || !allowed(s, m.type, m.zone, m.spot)) continue;
+    auto& z = zones[m.zone];
+    z.zone = m.zone;
+    z.free += std::min(fits(m.free, s.each), rules.task_cap);
+  }
+  return as_list(zones);
+}
+
+Machine* choose_machine(std::map<MachineName, Machine>& machines, const wire::Shape& s,
+                        const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job, Instant now) {
+  Machine* best = nullptr;
+  std::pair<bool, double> best_rank;
+  for (auto& [name, m] : machines) {
+    if (!m.usable(now) || !allowed(s, m.type, m.zone, m.spot) || (zone && *zone != m.zone)) continue;
+    if (auto e = m.errors.find(job); e != m.errors.end() && now - e->second < kAvoidAfterError) continue;
+    if (room_on(m, s, rules, false) == 0) continue;
+    double free = (m.total - m.used()).cpus;
+    std::pair<bool, double> rank{!m.images.has(s.image), free};
+    if (!best || rank < best_rank) {
+      best = &m;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+}  // namespace beaconsill::part
--- /dev/null
+++ b/src/part/estimator.h
@@ -0,0 +1,39 @@
+// How many tasks fit: for each matching machine min(r1, r2), summed. Pure functions.
+#pragma once
+
+#include <map>
+
+#include "part/machine.h"
+#include "wire/peer.h"
+
+namespace beaconsill::part {
+
+struct RoomRules {
+  std::uint32_t task_cap = 64;
+  double reserve = 0;  // share of a machine's CPUs that arrays leave free
+};
+
+// The shape of a job's tasks.
+wire::Shape shape_of(const wire::JobSpec& spec, std::uint32_t wanted);
+
+// Whether tasks of this shape are allowed on such a machine, room aside.
+bool allowed(const wire::Shape& s, const MachineType& type, const Zone& zone, bool spot);
+
+// r1: how often `each` fits into `idle`, the scarcest resource deciding.
+std::uint32_t fits(const Resources& idle, const Resources& each);
+
+// min(r1, r2) of one machine. `preempt`: as if all work of lower priority were stopped.
+std::uint32_t room_on(const Machine& m, const wire::Shape& s, const RoomRules& rules, bool preempt);
+
+// The part's answer, by zone.
+wire::ShapeRoom estimate(const std::map<MachineName, Machine>& machines, const wire::Shape& s, const RoomRules& rules,
+                         Instant now);
+
+// The same from a summary, which knows free room only.
+wire::ShapeRoom estimate(const wire::Summary& summary, const wire::Shape& s, const RoomRules& rules);
+
+// Placement: of the machines that have room those that hold the image first, among them the fullest.
+Machine* choose_machine(std::map<MachineName, Machine>& machines, const wire::Shape& s,
+                        const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job, Instant now);
+
+}  // namespace beaconsill::part
--- /dev/null
+++ b/src/part/machine.h
@@ -0,0 +1,105 @@
+// An owner's books about one machine of its part.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/types.h"
+#include "wire/api.h"
+#include "wire/cloud.h"
+#include "wire/worker.h"
+
+namespace beaconsill::part {
+
+// A machine may still report an ended attempt of a task while it runs the next one.
+using TaskKey = std::pair<TaskId, Attempt>;
+
+// A task that is, or may be, on the machine.
+struct TaskOn {
+  enum class Start {
+    kQueued,  // to be sent with the next commands
+    kSent,    // sent, not settled: it may or may not be there
+    kSettled  // the worker has reported it
+  };
+  Start start = Start::kSettled;
+  wire::TaskState state = wire::TaskState::kFetching;
+  wire::EndCause cause = wire::EndCause::kDone;
+  bool saved = false;
+  std::shared_ptr<const wire::JobSpec> spec;  // none if the job isn't known
+  Instant since{};                            // placed or first seen
+  std::optional<Instant> running_since;
+  std::optional<double> stop_grace;  // to be stopped
+  bool stop_sent = false;
+  bool may_forget = false;  // ended, and what it ended with is durable or of no use
+  bool forget_sent = false;
+};
+
+// The images a machine is thought to hold, the least recently used dropped first as the machine does.
+class ImageCache {
+ public:
+  void set_capacity(double gb) { capacity_gb_ = gb; }
+  void use(const ImageName& image, double gb, Instant now);
+  bool has(const ImageName& image) const { return images_.contains(image); }
+
+ private:
+  struct Entry {
+    double gb;
+    Instant used;
+  };
+  std::map<ImageName, Entry> images_;
+  double capacity_gb_ = 0;
+};
+
+struct Machine {
+  MachineName name;
+  std::string address;
+  MachineType type;
+  Zone zone;
+  bool spot = false;
+  Resources total;
+  bool type_known = false;
+
+  // From reports.
+  Session session;
+  Sequence sequence;
+  Token seen;             // highest token that the worker is known to have seen
+  bool reported = false;  // under this owner's term: no earlier owner is obeyed any more
+  Instant heard{};        // last report, or when the owner began to wait for one
+  Instant answered{};     // last answer to a report
+  std::optional<Instant> taken_at;  // spot notice
+  std::map<TaskKey, TaskOn> tasks;
+  ImageCache images;
+
+  // Commands: at most one batch is under way, each under a token of its own.
+  enum class Channel {
+    kIdle,
+    kBusy,    // a batch is under way
+    kFencing  // a batch had no answer: what it started is settled once the worker has seen a higher token
+  };
+  Channel channel = Channel::kIdle;
+  Token token;  // the highest given out; reports are answered with it
+  std::optional<Instant> retry_at;
+
+  bool registered = false;  // in the state service, so that a successor waits for it
+  bool closed = false;      // takes no more tasks: to be returned
+  bool sick = false;
+  bool deleting = false;
+  std::optional<Instant> delete_retry;
+  Instant idle_since{};
+  std::map<JobId, Instant> errors;  // jobs that failed here, and when last
+
+  Resources used() const;
+  // Used by tasks whose priority is at least `p`: what stopping lower work can't free.
+  Resources used_from(Priority p) const;
+  std::size_t live_tasks() const;
+  bool usable(Instant now) const {
+    return reported && registered && type_known && !closed && !sick && !deleting && !taken_at && now - heard < quiet;
+  }
+  Duration quiet = std::chrono::seconds(4);  // without a report for this long it gets no new tasks
+};
+
+}  // namespace beaconsill::part
--- /dev/null
+++ b/src/part/part.cpp
@@ -0,0 +1,761 @@
+#include "part/part.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.h"
+
+namespace beaconsill::part {
+namespace {
+
+using wire::EndCause;
+using wire::TaskState;
+
+// Clocks drift apart by 0.05%; a lease is over for sure after this much more, and a margin for steps of timers.
+constexpr double kDrift = 1.002;
+constexpr Duration kLeaseMargin = std::chrono::milliseconds(500);
+constexpr Duration kProbeAgain = std::chrono::seconds(1);
+constexpr Duration kDeleteAgain = std::chrono::seconds(2);
+// Workers that lost their node try the others one after the other, up to 4 s each.
+constexpr Duration kTakeoverPatience = std::chrono::seconds(6);
+constexpr Duration kErrorMemory = std::chrono::seconds(60);
+constexpr Duration kStrayPatience = std::chrono::seconds(2);
+constexpr double kMaxBackoff = 30;
+constexpr std::size_t kSickJobs = 2;      // so many jobs fail on a machine: it is the machine
+constexpr std::size_t kBadMachines = 3;   // a job fails on so many machines: it is the job
+constexpr std::size_t kMaxCommands = 128;  // in one batch
+
+bool live(const TaskOn& t) {
+  return t.state != TaskState::kEnded;
+}
+
+}  // namespace
+
+Part::Part(PartId id, Term term, PartParams params, Instant now)
+    : id_(id), term_(term), params_(params), began_(now), next_attempt_((term.value() << Token::kFenceBits) + 1) {}
+
+void Part::set_catalogue(std::shared_ptr<const wire::Catalogue> c) {
+  catalogue_ = std::move(c);
+  for (auto& [name, m] : machines_) set_type(m);
+}
+
+void Part::set_type(Machine& m) {
+  if (!catalogue_) return;
+  auto it = catalogue_->find(m.type);
+  if (it == catalogue_->end()) return;
+  m.total = it->second.total;
+  m.images.set_capacity(it->second.cache_gb);
+  m.type_known = true;
+}
+
+Part::PartJob* Part::find_job(const JobId& id) {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+Part::Slot* Part::find_slot(const TaskId& id) {
+  auto* job = find_job(id.job);
+  if (!job) return nullptr;
+  auto it = job->slots.find(id.index);
+  return it == job->slots.end() ? nullptr : &it->second;
+}
+
+// What the task ended with is recorded, or of no use to anybody.
+bool Part::durable(const TaskId& id) const {
+  auto it = jobs_.find(id.job);
+  if (it == jobs_.end()) return false;
+  return it->second.end || it->second.recorded.done.contains(id.index);
+}
+
+// ---------------------------------------------------------------- machines and reports
+
+void Part::on_registry(const std::vector<store::MachineRecord>& records, Instant now) {
+  registry_.clear();
+  std::set<MachineName> written;
+  for (const auto& r : records) {
+    registry_[store::machine_bucket(r.name)].push_back(r);
+    written.insert(r.name);
+    if (gone_.contains(r.name)) continue;
+    auto [it, fresh] = machines_.try_emplace(r.name);
+    auto& m = it->second;
+    if (fresh) {
+      m.name = r.name;
+      m.type = r.type;
+      m.zone = r.zone;
+      m.spot = r.spot;
+      m.heard = now;
+      m.idle_since = now;
+      m.token = Token::first_of(term_);
+      m.quiet = params_.report_period * 3;
+      set_type(m);
+    }
+  }
+  for (auto& [name, m] : machines_) m.registered = written.contains(name);
+  registry_known_ = true;
+  check_rebuilt(now);
+}
+
+std::map<std::uint32_t, std::vector<store::MachineRecord>> Part::unregistered() const {
+  std::map<std::uint32_t, std::vector<store::MachineRecord>> wanted, out;
+  if (!registry_known_) return out;
+  for (const auto& [name, m] : machines_)
+    wanted[store::machine_bucket(name)].push_back({m.name, m.type, m.zone, m.spot});
+  for (std::uint32_t b = 0; b < store::kMachineBuckets; ++b) {
+    auto it = registry_.find(b);
+    auto have = it == registry_.end() ? std::vector<store::MachineRecord>{} : it->second;
+    std::sort(have.begin(), have.end(), [](const auto& x, const auto& y) { return x.name < y.name; });
+    if (have != wanted[b]) out[b] = wanted[b];
+  }
+  return out;
+}
+
+Machine& Part::machine(const wire::Report& r, Instant now) {
+  auto [it, fresh] = machines_.try_emplace(r.machine);
+  auto& m = it->second;
+  if (fresh) {
+    m.name = r.machine;
+    m.idle_since = now;
+    m.token = Token::first_of(term_);
+    m.quiet = params_.report_period * 3;
+  }
+  if (m.type != r.type || !m.type_known) {
+    m.type = r.type;
+    set_type(m);
+  }
+  m.zone = r.zone;
+  m.spot = r.spot;
+  m.address = r.address;
+  return m;
+}
+
+Token Part::answer(const MachineName& name, Instant now) {
+  auto& m = machines_.at(name);
+  m.answered = now;
+  return m.token;
+}
+
+bool Part::on_report(const wire::Report& r, Instant now) {
+  if (gone_.contains(r.machine)) return false;
+  if (r.token.term() > term_) {
+    if (!superseded_) spdlog::info("part {}: {} has seen term {}, ours is {}", id_.value(), r.machine.value(),
+                                   r.token.term().value(), term_.value());
+    superseded_ = true;
+    return false;
+  }
+  auto& m = machine(r, now);
+  if (!r.newer_than(m.session, m.sequence)) {
+    spdlog::debug("{}: stale report {}/{} dropped", m.name.value(), r.session.value(), r.sequence.value());
+    return false;
+  }
+  if (r.session != m.session) lose_all(m, now);
+  m.session = r.session;
+  m.sequence = r.sequence;
+  m.heard = now;
+  m.seen = std::max(m.seen, r.token);
+  m.token = std::max(m.token, r.token);
+  if (r.token >= Token::first_of(term_)) m.reported = true;
+  if (r.notice_s) {
+    auto at = now + from_seconds(*r.notice_s);
+    if (!m.taken_at) spdlog::info("{}: to be taken back in {:.1f} s", m.name.value(), *r.notice_s);
+    m.taken_at = at;
+  } else {
+    m.taken_at.reset();
+  }
+  // The worker obeys nothing older than the fence any more: what had no answer is there, or never will be.
+  if (m.channel == Machine::Channel::kFencing && r.token >= m.token) settle(m, now);
+
+  std::set<TaskKey> listed;
+  for (const auto& t : r.tasks) {
+    TaskKey key{t.task, t.attempt};
+    listed.insert(key);
+    auto [it, fresh] = m.tasks.try_emplace(key);
+    if (fresh) {
+      it->second.since = now;
+      if (auto* job = find_job(t.task.job)) it->second.spec = job->record.spec;
+    }
+    update(m, key, it->second, t, now);
+  }
+  for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+    // A start that isn't settled may still be carried out: its absence from a report proves nothing.
+    if (it->second.start != TaskOn::Start::kSettled || listed.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    auto key = it->first;
+    it = m.tasks.erase(it);
+    requeue(key, now);
+  }
+  if (m.live_tasks() > 0) m.idle_since = now;
+  check_rebuilt(now);
+  return true;
+}
+
+void Part::update(Machine& m, const TaskKey& key, TaskOn& t, const wire::TaskReport& r, Instant now) {
+  bool was_live = live(t) || t.since == now;
+  t.start = TaskOn::Start::kSettled;
+  t.state = r.state;
+  t.cause = r.cause;
+  t.saved = r.saved;
+  if (r.state == TaskState::kRunning && !t.running_since) t.running_since = now;
+  if (t.spec && (r.state == TaskState::kRunning || r.state == TaskState::kWaiting))
+    m.images.use(t.spec->image, t.spec->image_gb, now);
+  if (live(t)) {
+    adopt(m, key, t, now);
+  } else if (was_live) {
+    on_ended(m, key, t, now);
+  }
+}
+
+// A live task that the books don't place here: after a takeover, or since its grant isn't known yet.
+void Part::adopt(Machine& m, const TaskKey& key, TaskOn& t, Instant) {
+  auto* slot = find_slot(key.first);
+  if (!slot) return;
+  if (slot->status == Slot::Status::kHeld || slot->status == Slot::Status::kWaiting) {
+    slot->status = Slot::Status::kPlaced;
+    slot->machine = m.name;
+    slot->attempt = key.second;
+  } else if (slot->status == Slot::Status::kPlaced && (slot->machine != m.name || slot->attempt != key.second) &&
+             !t.stop_grace) {
+    spdlog::error("{}: task {} is here as well as on {}", m.name.value(), wire::task_name(key.first),
+                  slot->machine.value());
+    stop(t, 0);
+  }
+}
+
+void Part::on_ended(Machine& m, const TaskKey& key, TaskOn& t, Instant now) {
+  if (t.cause == EndCause::kDone) {
+    if (auto* slot = find_slot(key.first)) {
+      if (slot->status != Slot::Status::kReturned) slot->status = Slot::Status::kDone;
+      jobs_[key.first.job].dirty = true;
+    }
+    return;
+  }
+  t.may_forget = true;
+  if (t.cause == EndCause::kError || t.cause == EndCause::kUnknown) failed(m, key.first.job, now);
+  requeue(key, now);
+}
+
+void Part::requeue(const TaskKey& key, Instant now) {
+  auto* slot = find_slot(key.first);
+  if (!slot || slot->status != Slot::Status::kPlaced || slot->attempt != key.second) return;
+  slot->status = slot->earlier && !rebuilt_ ? Slot::Status::kHeld : Slot::Status::kWaiting;
+  slot->since = now;
+}
+
+void Part::lose_all(Machine& m, Instant now) {
+  auto tasks = std::move(m.tasks);
+  m.tasks.clear();
+  m.channel = Machine::Channel::kIdle;
+  m.retry_at.reset();
+  m.idle_since = now;
+  for (const auto& [key, t] : tasks) requeue(key, now);
+}
+
+// Evidence decides whom to blame: a machine on which many jobs fail is sick, a job that fails on many machines
+// is bad.
+void Part::failed(Machine& m, const JobId& id, Instant now) {
+  std::erase_if(m.errors, [&](const auto& e) { return now - e.second > kErrorMemory; });
+  m.errors[id] = now;
+  auto* job = find_job(id);
+  if (!job) return;
+  job->failed_on[m.name] = now;
+  if (job->failed_on.size() >= 2) {
+    ++job->failures;
+    job->not_before = now + from_seconds(std::min(kMaxBackoff, std::pow(2.0, std::min(job->failures, 6) - 1)));
+  }
+  auto blamed = static_cast<std::size_t>(std::count_if(m.errors.begin(), m.errors.end(), [&](const auto& e) {
+    auto* j = find_job(e.first);
+    return !j || j->failed_on.size() < kBadMachines;
+  }));
+  if (!m.sick && blamed >= kSickJobs) {
+    m.sick = true;
+    spdlog::info("{}: tasks of {} jobs failed here, set aside", m.name.value(), blamed);
+  }
+}
+
+void Part::settle(Machine& m, Instant) {
+  m.channel = Machine::Channel::kIdle;
+  m.retry_at.reset();
+  for (auto& [key, t] : m.tasks) {
+    if (t.start == TaskOn::Start::kSent) t.start = TaskOn::Start::kSettled;
+    t.stop_sent = t.forget_sent = false;
+  }
+}
+
+void Part::check_rebuilt(Instant now) {
+  if (rebuilt_ || !registry_known_) return;
+  for (const auto& [name, m] : machines_)
+    if (m.registered && !m.reported) return;
+  rebuilt_ = true;
+  spdlog::info("part {}: rebuilt under term {} after {:.1f} s, {} machines", id_.value(), term_.value(),
+               to_seconds(now - began_), machines_.size());
+  for (auto& [id, job] : jobs_)
+    for (auto& [n, slot] : job.slots)
+      if (slot.status == Slot::Status::kHeld) {
+        slot.status = Slot::Status::kWaiting;
+        slot.since = now;
+      }
+}
+
+// ---------------------------------------------------------------- jobs
+
+void Part::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now) {
+  if (!job || !job->record.spec) {
+    if (auto* known = find_job(id); known && end) known->end = end;
+    if (!job) jobs_.erase(id);
+    return;
+  }
+  bool ours = std::any_of(job->grants.value.chunks.begin(), job->grants.value.chunks.end(),
+                          [&](const auto& c) { return c.part == id_; });
+  if (!ours && !jobs_.contains(id)) return;
+  auto& pj = jobs_[id];
+  pj.record = job->record;
+  pj.end = end;
+  auto recorded = job->progress.find(id_);
+  pj.recorded = recorded == job->progress.end() ? store::Progress{} : recorded->second.value;
+  pj.generations.clear();
+  std::set<std::uint32_t> wanted;
+  for (const auto& c : job->grants.value.chunks) {
+    if (c.part != id_) continue;
+    pj.generations.insert(c.generation);
+    if (c.term > term_) continue;  // meant for a later owner
+    Ranges tasks = c.tasks;
+    tasks.remove(store::given_back(pj.recorded, c.generation));
+    tasks.remove(pj.recorded.done);
+    for (auto [first, last] : tasks.spans())
+      for (auto n = first; n < last; ++n) {
+        wanted.insert(n);
+        auto [it, fresh] = pj.slots.try_emplace(n);
+        auto& slot = it->second;
+        if (!fresh && slot.generation == c.generation) continue;
+        slot = {};
+        slot.generation = c.generation;
+        slot.earlier = c.term < term_;
+        slot.preempt = c.preempt;
+        slot.zone = c.zone;
+        slot.attempt = c.gang_attempt;
+        slot.since = now;
+        slot.status = slot.earlier && !rebuilt_ ? Slot::Status::kHeld : Slot::Status::kWaiting;
+        pj.dirty = true;
+      }
+  }
+  std::erase_if(pj.slots, [&](const auto& s) { return !wanted.contains(s.first); });
+  for (auto& [name, m] : machines_) {
+    auto first = m.tasks.lower_bound({TaskId{id, 0}, Attempt()});
+    for (auto it = first; it != m.tasks.end() && it->first.first.job == id; ++it) {
+      auto& t = it->second;
+      if (!t.spec) t.spec = pj.record.spec;
+      if (live(t)) {
+        adopt(m, it->first, t, now);
+        if (end == store::End::kCancelled) stop(t, 0);
+      } else if (t.cause == EndCause::kDone) {
+        if (auto* slot = find_slot(it->first.first); slot && slot->status != Slot::Status::kReturned)
+          slot->status = Slot::Status::kDone;
+      }
+    }
+  }
+  pj.dirty = true;
+  if (pj.slots.empty() && pj.generations.empty()) jobs_.erase(id);
+}
+
+store::Progress Part::progress_of(const PartJob& job) const {
+  store::Progress p;
+  p.done = job.recorded.done;
+  for (const auto& r : job.recorded.returned)
+    if (job.generations.contains(r.generation)) p.returned.push_back(r);
+  for (const auto& [n, slot] : job.slots) {
+    if (slot.status == Slot::Status::kDone) p.done.add(n);
+    if (slot.status != Slot::Status::kReturned) continue;
+    auto it = std::find_if(p.returned.begin(), p.returned.end(),
+                           [&](const auto& r) { return r.generation == slot.generation; });
+    if (it == p.returned.end()) it = p.returned.insert(p.returned.end(), {slot.generation, {}});
+    it->tasks.add(n);
+  }
+  return p;
+}
+
+std::map<JobId, store::Progress> Part::unwritten() const {
+  std::map<JobId, store::Progress> out;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.dirty) continue;
+    auto p = progress_of(job);
+    bool news = std::any_of(job.slots.begin(), job.slots.end(), [](const auto& s) {
+      return s.second.status == Slot::Status::kDone || s.second.status == Slot::Status::kReturned;
+    });
+    if (news && p != job.recorded) out[id] = std::move(p);
+  }
+  return out;
+}
+
+bool Part::finished_with(const JobId& id) const {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() || std::all_of(it->second.slots.begin(), it->second.slots.end(), [](const auto& s) {
+           return s.second.status == Slot::Status::kDone || s.second.status == Slot::Status::kReturned;
+         });
+}
+
+// ---------------------------------------------------------------- time
+
+void Part::tick(Instant now, Instant word) {
+  check_rebuilt(now);
+  check_leases(now, word);
+  check_notices(now);
+  stop_strays(now, word);
+  // Starting a task needs recent word of cancellations, well inside the time that they have.
+  if (now - word < params_.cancel_limit / 4) place_all(now);
+  give_back(now);
+}
+
+// Rule 4 of docs/design.md: the lease has run out since the last time that anybody entitled can have answered.
+// The worker has seen our term, so no earlier owner is obeyed; `word` shows that no successor existed.
+void Part::check_leases(Instant now, Instant word) {
+  for (auto& [name, m] : machines_) {
+    if (!m.reported || m.tasks.empty()) continue;
+    auto over = std::max(m.answered, m.heard) + std::chrono::duration_cast<Duration>(params_.lease * kDrift) + kLeaseMargin;
+    if (now <= over || word <= over || superseded_) continue;
+    spdlog::info("{}: silent beyond its lease, its {} tasks are gone", name.value(), m.tasks.size());
+    lose_all(m, now);
+    // A report of that session can only be a late one.
+    m.session = Session(m.session.value() + 1);
+    m.sequence = Sequence();
+  }
+}
+
+void Part::check_notices(Instant now) {
+  for (auto& [name, m] : machines_) {
+    if (!m.taken_at || !m.reported) continue;
+    double left = to_seconds(*m.taken_at - now);
+    for (auto& [key, t] : m.tasks) {
+      if (!live(t) || !t.spec || t.stop_grace) continue;
+      // A task that should complete in time is left alone: it has nothing to lose.
+      if (t.spec->kind == JobKind::kArray && t.running_since &&
+          t.spec->estimate_s - to_seconds(now - *t.running_since) < left)
+        continue;
+      stop(t, t.spec->checkpoint_s > 0 ? t.spec->save_s : 0);
+    }
+  }
+}
+
+// Tasks on a machine that are not granted to this part, or whose job is over.
+void Part::stop_strays(Instant now, Instant word) {
+  for (auto& [name, m] : machines_) {
+    for (auto& [key, t] : m.tasks) {
+      auto job = jobs_.find(key.first.job);
+      bool known = job != jobs_.end();
+      if (known && job->second.end) {
+        if (live(t)) {
+          stop(t, 0);
+        } else {
+          t.may_forget = true;
+        }
+        continue;
+      }
+      if (known && job->second.slots.contains(key.first.index)) continue;
+      // Its grant may be on its way to us: judged only by what was read after the task was seen.
+      if (word < t.since + kStrayPatience) continue;
+      if (live(t)) {
+        if (!t.stop_grace) spdlog::info("{}: task {} isn't granted here, stopped", name.value(), wire::task_name(key.first));
+        stop(t, 0);
+      } else {
+        t.may_forget = true;
+      }
+    }
+  }
+  (void)now;
+}
+
+void Part::place_all(Instant now) {
+  std::vector<std::pair<JobId, PartJob*>> waiting;
+  for (auto& [id, job] : jobs_) {
+    if (job.end || now < job.not_before) continue;
+    if (std::any_of(job.slots.begin(), job.slots.end(),
+                    [](const auto& s) { return s.second.status == Slot::Status::kWaiting; }))
+      waiting.emplace_back(id, &job);
+  }
+  auto due = [](const PartJob& j) {
+    return j.record.submitted.value() + static_cast<std::int64_t>(j.record.spec->deadline_s.value_or(3600) * 1000);
+  };
+  std::sort(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) {
+    auto pa = a.second->record.spec->priority, pb = b.second->record.spec->priority;
+    if (pa != pb) return pa > pb;
+    return due(*a.second) < due(*b.second);
+  });
+  for (auto& [id, job] : waiting) place_job(id, *job, now);
+}
+
+void Part::place_job(const JobId& id, PartJob& job, Instant now) {
+  auto shape = shape_of(*job.record.spec, 1);
+  std::set<std::optional<Zone>> full;
+  Machine* m = nullptr;
+  std::uint32_t room = 0;
+  std::optional<Zone> zone;
+  for (auto& [n, slot] : job.slots) {
+    if (slot.status != Slot::Status::kWaiting || full.contains(slot.zone)) continue;
+    TaskId task{id, n};
+    // A guard against every mistake above: what any machine still lists is not started.
+    bool present = std::any_of(machines_.begin(), machines_.end(), [&](const auto& x) {
+      auto it = x.second.tasks.lower_bound({task, Attempt()});
+      for (; it != x.second.tasks.end() && it->first.first == task; ++it)
+        if (live(it->second)) return true;
+      return false;
+    });
+    if (present) continue;
+    if (!m || room == 0 || zone != slot.zone) {
+      zone = slot.zone;
+      m = choose_machine(machines_, shape, zone, params_.rules, id, now);
+      room = m ? room_on(*m, shape, params_.rules, false) : 0;
+    }
+    if (room == 0) {
+      if (slot.preempt) {
+        preempt_for(job, slot, now);
+      } else {
+        full.insert(slot.zone);
+      }
+      continue;
+    }
+    start(*m, task, job, slot, now);
+    --room;
+  }
+}
+
+void Part::start(Machine& m, const TaskId& id, const PartJob& job, Slot& slot, Instant now) {
+  slot.status = Slot::Status::kPlaced;
+  slot.machine = m.name;
+  if (job.record.spec->kind != JobKind::kGang) slot.attempt = Attempt(next_attempt_++);
+  auto& t = m.tasks[{id, slot.attempt}];
+  t = {};
+  t.start = TaskOn::Start::kQueued;
+  t.spec = job.record.spec;
+  t.since = now;
+  m.idle_since = now;
+}
+
+// Makes room for one task of higher priority by stopping the work that loses least.
+void Part::preempt_for(const PartJob& job, Slot& slot, Instant now) {
+  auto shape = shape_of(*job.record.spec, 1);
+  Machine* best = nullptr;
+  std::vector<TaskOn*> best_victims;
+  double best_cost = 0;
+  for (auto& [name, m] : machines_) {
+    if (!m.usable(now) || !allowed(shape, m.type, m.zone, m.spot) || (slot.zone && *slot.zone != m.zone)) continue;
+    std::vector<TaskOn*> lower;
+    Resources idle = m.total - m.used();
+    for (auto& [key, t] : m.tasks) {
+      if (!live(t) || !t.spec || t.spec->priority >= shape.priority) continue;
+      if (t.stop_grace) {
+        idle += t.spec->each;  // on its way out already
+      } else if (t.start == TaskOn::Start::kSettled) {
+        lower.push_back(&t);
+      }
+    }
+    auto lost = [now](const TaskOn* t) {
+      double ran = t->running_since ? to_seconds(now - *t->running_since) : 0;
+      if (t->spec->checkpoint_s > 0) ran = std::min(ran, t->spec->checkpoint_s);
+      return ran * t->spec->each.cpus;
+    };
+    std::sort(lower.begin(), lower.end(), [&](auto* a, auto* b) { return lost(a) < lost(b); });
+    std::vector<TaskOn*> victims;
+    double cost = 0;
+    for (auto* t : lower) {
+      if (fits(idle, shape.each) > 0) break;
+      idle += t->spec->each;
+      cost += lost(t);
+      victims.push_back(t);
+    }
+    if (fits(idle, shape.each) == 0) continue;
+    if (!best || cost < best_cost) {
+      best = &m;
+      best_cost = cost;
+      best_victims = std::move(victims);
+    }
+  }
+  if (!best) return;
+  for (auto* t : best_victims) stop(*t, t->spec->checkpoint_s > 0 ? t->spec->save_s : 0);
+  slot.preempt = false;
+  slot.since = now;
+}
+
+void Part::give_back(Instant now) {
+  for (auto& [id, job] : jobs_) {
+    for (auto& [n, slot] : job.slots) {
+      if (slot.status != Slot::Status::kWaiting) continue;
+      if (!job.end && now - slot.since < params_.report_period) continue;
+      slot.status = Slot::Status::kReturned;
+      job.dirty = true;
+    }
+  }
+}
+
+// ---------------------------------------------------------------- commands
+
+std::vector<Part::Batch> Part::take_batches(Instant now) {
+  std::vector<Batch> out;
+  if (superseded_) return out;
+  for (auto& [name, m] : machines_) {
+    if (m.address.empty() || !m.reported) continue;
+    if (m.channel == Machine::Channel::kFencing && m.retry_at && now >= *m.retry_at) {
+      m.retry_at.reset();
+      out.push_back({name, m.address, m.session, m.token, {}});
+      continue;
+    }
+    if (m.channel != Machine::Channel::kIdle) continue;
+    Batch b{name, m.address, m.session, {}, {}};
+    for (auto& [key, t] : m.tasks) {
+      if (b.commands.size() >= kMaxCommands) break;
+      if (t.start == TaskOn::Start::kQueued) {
+        auto* job = find_job(key.first.job);
+        // Cancelled between placing and sending: it never leaves this node.
+        if (!job || job->end) continue;
+        t.start = TaskOn::Start::kSent;
+        b.commands.push_back({wire::Command::Op::kStart, key.first, key.second, 0});
+      } else if (t.start == TaskOn::Start::kSettled && live(t) && t.stop_grace && !t.stop_sent) {
+        t.stop_sent = true;
+        b.commands.push_back({wire::Command::Op::kStop, key.first, key.second, *t.stop_grace});
+      } else if (!live(t) && !t.forget_sent && (t.may_forget || durable(key.first))) {
+        t.forget_sent = true;
+        b.commands.push_back({wire::Command::Op::kForget, key.first, key.second, 0});
+      }
+    }
+    std::erase_if(m.tasks, [&](const auto& e) {
+      if (e.second.start != TaskOn::Start::kQueued) return false;
+      auto* job = find_job(e.first.first.job);
+      if (job && !job->end) return false;
+      requeue(e.first, now);
+      return true;
+    });
+    if (b.commands.empty()) continue;
+    // A token of its own for every batch: a copy of it that arrives late is refused.
+    m.token = m.token.raised();
+    b.token = m.token;
+    m.channel = Machine::Channel::kBusy;
+    out.push_back(std::move(b));
+  }
+  return out;
+}
+
+void Part::on_commands(const Batch& b, CommandResult result, const std::optional<wire::Report>& report, Instant now) {
+  auto it = machines_.find(b.machine);
+  if (it == machines_.end()) return;
+  auto& m = it->second;
+  if (m.session == b.session) {
+    if (b.commands.empty()) {
+      if (m.channel == Machine::Channel::kFencing) m.retry_at = now + kProbeAgain;
+    } else if (result == CommandResult::kNoAnswer) {
+      m.channel = Machine::Channel::kFencing;
+      m.token = m.token.raised();
+      m.retry_at = now;
+    } else {
+      m.channel = Machine::Channel::kIdle;
+      for (const auto& c : b.commands) {
+        auto t = m.tasks.find({c.task, c.attempt});
+        if (t == m.tasks.end()) continue;
+        if (result == CommandResult::kExecuted) {
+          if (t->second.start == TaskOn::Start::kSent) t->second.start = TaskOn::Start::kSettled;
+        } else if (t->second.start == TaskOn::Start::kSent) {
+          // Refused for its token or session, and so it always will be.
+          auto key = t->first;
+          m.tasks.erase(t);
+          requeue(key, now);
+        } else {
+          t->second.stop_sent = t->second.forget_sent = false;
+        }
+      }
+    }
+  }
+  if (report && report->machine == b.machine) on_report(*report, now);
+}
+
+// ---------------------------------------------------------------- machines that go
+
+// More silent machines than single failures explain: rather this node is cut off from them.
+bool Part::widespread_silence(Instant now) const {
+  std::size_t silent = 0;
+  for (const auto& [name, m] : machines_)
+    if (now - m.heard > m.quiet) ++silent;
+  return silent >= 3 && silent * 2 > machines_.size();
+}
+
+std::vector<MachineName> Part::take_deletions(Instant now) {
+  std::vector<MachineName> out;
+  if (superseded_) return out;
+  bool cut_off = widespread_silence(now);
+  for (auto& [name, m] : machines_) {
+    if (m.deleting || (m.delete_retry && now < *m.delete_retry)) continue;
+    auto patience = m.reported ? params_.grace : params_.grace + kTakeoverPatience;
+    bool quiet = !cut_off && now - m.heard > patience;
+    bool empty = m.tasks.empty() && m.channel == Machine::Channel::kIdle;
+    if (!quiet && !((m.sick || m.closed) && empty)) continue;
+    spdlog::info("{}: to be deleted ({})", name.value(), quiet ? "silent" : m.sick ? "sick" : "not needed");
+    m.deleting = true;
+    out.push_back(name);
+  }
+  return out;
+}
+
+void Part::on_deleted(const MachineName& name, Instant now) {
+  gone_.insert(name);
+  auto it = machines_.find(name);
+  if (it == machines_.end()) return;
+  lose_all(it->second, now);
+  machines_.erase(it);
+  check_rebuilt(now);
+}
+
+void Part::on_delete_failed(const MachineName& name, Instant now) {
+  auto it = machines_.find(name);
+  if (it == machines_.end()) return;
+  it->second.deleting = false;
+  it->second.delete_retry = now + kDeleteAgain;
+}
+
+void Part::release(const MachineName& name) {
+  auto it = machines_.find(name);
+  if (it != machines_.end() && it->second.tasks.empty()) it->second.closed = true;
+}
+
+// ---------------------------------------------------------------- questions
+
+wire::ShapeRoom Part::estimate(const wire::Shape& s, Instant now) const {
+  auto rooms = part::estimate(machines_, s, params_.rules, now);
+  if (s.each.cpus <= 0) return rooms;
+  // Tasks that wait here already will take their room first.
+  double waiting = 0;
+  for (const auto& [id, job] : jobs_) {
+    if (job.end || job.record.spec->priority < s.priority) continue;
+    for (const auto& [n, slot] : job.slots)
+      if (slot.status == Slot::Status::kWaiting) waiting += job.record.spec->each.cpus;
+  }
+  auto taken = static_cast<std::uint32_t>(std::ceil(waiting / s.each.cpus - 1e-9));
+  for (auto& z : rooms) {
+    auto n = std::min(taken, z.free);
+    z.free -= n;
+    z.warm = std::min(z.warm, z.free);
+    taken -= n;
+  }
+  return rooms;
+}
+
+wire::Summary Part::summary(Instant now) const {
+  wire::Summary s{id_, term_, {}, {}, {}};
+  std::map<JobId, std::uint32_t> running;
+  for (const auto& [name, m] : machines_) {
+    double idle = m.tasks.empty() ? to_seconds(now - m.idle_since) : 0;
+    s.machines.push_back({name, m.type, m.zone, m.spot, m.total - m.used(), idle, m.usable(now)});
+    for (const auto& [key, t] : m.tasks)
+      if (t.state == TaskState::kRunning || t.state == TaskState::kSaving) ++running[key.first.job];
+  }
+  for (const auto& [id, n] : running) s.running.push_back({id, n});
+  return s;
+}
+
+std::uint32_t Part::running(const JobId& id) const {
+  std::uint32_t n = 0;
+  for (const auto& [name, m] : machines_) {
+    auto it = m.tasks.lower_bound({TaskId{id, 0}, Attempt()});
+    for (; it != m.tasks.end() && it->first.first.job == id; ++it)
+      if (it->second.state == TaskState::kRunning) ++n;
+  }
+  return n;
+}
+
+}  // namespace beaconsill::part
--- /dev/null
+++ b/src/part/part.h
@@ -0,0 +1,159 @@
+// The owner of a part: a state machine that takes reports, grants and times, and says what to send and write.
+// It has no sockets; the node carries its wishes out.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "part/estimator.h"
+#include "part/machine.h"
+#include "store/view.h"
+#include "wire/peer.h"
+
+namespace beaconsill::part {
+
+struct PartParams {
+  Duration report_period{};
+  Duration lease{};
+  Duration cancel_limit{};
+  Duration grace{};  // silence after which a machine is deleted
+  RoomRules rules;
+};
+
+class Part {
+ public:
+  Part(PartId id, Term term, PartParams params, Instant now);
+
+  PartId id() const { return id_; }
+  Term term() const { return term_; }
+  const std::map<MachineName, Machine>& machines() const { return machines_; }
+  // Some worker has seen a token of a higher term: another owner exists.
+  bool superseded() const { return superseded_; }
+  // Every registered machine has been heard under this term or is gone.
+  bool rebuilt() const { return rebuilt_; }
+
+  void set_catalogue(std::shared_ptr<const wire::Catalogue> c);
+
+  // ---- What happens
+  // Machines registered in the state service, all buckets: first of all after taking the part over.
+  void on_registry(const std::vector<store::MachineRecord>& records, Instant now);
+  // A report, by the worker or in the body of an answer to commands. False: it's stale.
+  bool on_report(const wire::Report& r, Instant now);
+  // The token to answer a machine's report with; the lease runs anew from here.
+  Token answer(const MachineName& m, Instant now);
+  // The state of a job changed (none: it's gone).
+  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
+  // Lets time pass and places tasks. `word`: all cancellations told before this time are known here.
+  void tick(Instant now, Instant word);
+
+  // ---- Commands
+  struct Batch {
+    MachineName machine;
+    std::string address;
+    Session session;
+    Token token;
+    std::vector<wire::Command> commands;
+  };
+  // What can be sent now; each must be followed by on_commands.
+  std::vector<Batch> take_batches(Instant now);
+  enum class CommandResult { kExecuted, kRejected, kNoAnswer };
+  // `report`: the body of the answer.
+  void on_commands(const Batch& b, CommandResult result, const std::optional<wire::Report>& report, Instant now);
+
+  // ---- State
+  // Jobs whose progress is to be written, with the value to write.
+  std::map<JobId, store::Progress> unwritten() const;
+  // Whether the part holds no task of the job any more, once that progress is written.
+  bool finished_with(const JobId& id) const;
+  // Buckets of the registry to be written.
+  std::map<std::uint32_t, std::vector<store::MachineRecord>> unregistered() const;
+
+  // ---- Machines
+  // To be deleted now, since they went quiet, are sick, closed and empty. Followed by on_deleted or
+  // on_delete_failed.
+  std::vector<MachineName> take_deletions(Instant now);
+  void on_deleted(const MachineName& m, Instant now);
+  void on_delete_failed(const MachineName& m, Instant now);
+  // Takes no more tasks; deleted once it's empty. Ignored if it has work.
+  void release(const MachineName& m);
+
+  // ---- Questions
+  wire::ShapeRoom estimate(const wire::Shape& s, Instant now) const;
+  wire::Summary summary(Instant now) const;
+  std::uint32_t running(const JobId& id) const;
+
+ private:
+  struct Slot {
+    enum class Status {
+      kHeld,     // an earlier owner may have started it: not before the part is rebuilt
+      kWaiting,  // on no machine
+      kPlaced,
+      kDone,
+      kReturned  // given back, not yet written
+    };
+    Generation generation;
+    Status status = Status::kWaiting;
+    bool earlier = false;  // granted to an earlier owner
+    bool preempt = false;
+    std::optional<Zone> zone;
+    MachineName machine;
+    Attempt attempt;
+    Instant since{};
+  };
+  struct PartJob {
+    store::JobRecord record;
+    std::optional<store::End> end;
+    store::Progress recorded;
+    std::set<Generation> generations;  // of the chunks this part holds
+    std::map<std::uint32_t, Slot> slots;
+    std::map<MachineName, Instant> failed_on;
+    int failures = 0;
+    Instant not_before{};  // after failures
+    bool dirty = false;    // its progress may differ from what is recorded
+  };
+
+  // The attempt is off its machine: its task may be started anew.
+  void requeue(const TaskKey& key, Instant now);
+  void lose_all(Machine& m, Instant now);
+  void on_ended(Machine& m, const TaskKey& key, TaskOn& t, Instant now);
+  void failed(Machine& m, const JobId& job, Instant now);
+  void adopt(Machine& m, const TaskKey& key, TaskOn& t, Instant now);
+  void update(Machine& m, const TaskKey& key, TaskOn& t, const wire::TaskReport& r, Instant now);
+  void settle(Machine& m, Instant now);
+  void check_rebuilt(Instant now);
+  void check_leases(Instant now, Instant word);
+  void check_notices(Instant now);
+  void place_all(Instant now);
+  void place_job(const JobId& id, PartJob& job, Instant now);
+  void start(Machine& m, const TaskId& id, const PartJob& job, Slot& slot, Instant now);
+  void preempt_for(const PartJob& job, Slot& slot, Instant now);
+  void give_back(Instant now);
+  void stop_strays(Instant now, Instant word);
+  store::Progress progress_of(const PartJob& job) const;
+  void stop(TaskOn& t, double grace) { t.stop_grace = std::min(t.stop_grace.value_or(grace), grace); }
+  Machine& machine(const wire::Report& r, Instant now);
+  void set_type(Machine& m);
+  bool widespread_silence(Instant now) const;
+  PartJob* find_job(const JobId& id);
+  Slot* find_slot(const TaskId& id);
+  bool durable(const TaskId& id) const;
+
+  PartId id_;
+  Term term_;
+  PartParams params_;
+  Instant began_;
+  std::shared_ptr<const wire::Catalogue> catalogue_;
+  std::map<MachineName, Machine> machines_;
+  std::map<JobId, PartJob> jobs_;
+  std::map<std::uint32_t, std::vector<store::MachineRecord>> registry_;  // as written
+  std::set<MachineName> gone_;  // proved gone; their late reports are dropped
+  std::uint64_t next_attempt_;
+  bool rebuilt_ = false;
+  bool registry_known_ = false;
+  bool superseded_ = false;
+};
+
+}  // namespace beaconsill::part
--- /dev/null
+++ b/src/store/client.cpp
@@ -0,0 +1,182 @@
+#include "store/client.h"
+
+#include "base/log.h"
+
+namespace beaconsill::store {
+namespace {
+constexpr Duration kTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kQueueWait = std::chrono::milliseconds(2500);
+constexpr std::size_t kConnections = 6;
+
+ReadResult to_read(const net::Result& r) {
+  ReadResult out;
+  out.status = r.status;
+  if (!r.answered()) {
+    out.outcome = r.sent ? Outcome::kUnknown : Outcome::kRefused;
+    return out;
+  }
+  if (r.status == 503 || r.status == 429) {
+    out.outcome = Outcome::kRefused;
+    return out;
+  }
+  out.outcome = r.status == 200 ? Outcome::kOk : Outcome::kBad;
+  if (r.status == 200) {
+    try {
+      out.body = wire::parse_object(r.body);
+    } catch (const wire::WireError& e) {
+      spdlog::error("state service: answer dropped: {}", e.what());
+      out.outcome = Outcome::kBad;
+    }
+  }
+  return out;
+}
+}  // namespace
+
+StoreClient::StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
+                         double share)
+    : io_(io),
+      clock_(clock),
+      http_(std::make_shared<net::HttpClient>(io, at, kConnections)),
+      limits_(limits),
+      share_(share),
+      requests_(limits.rps * share, 1.0, clock.now()),
+      writes_(limits.write_rps * share, 1.0, clock.now()),
+      timer_(io) {}
+
+void StoreClient::set_share(double share) {
+  if (share == share_) return;
+  share_ = share;
+  requests_.set_rate(limits_.rps * share, clock_.now());
+  writes_.set_rate(limits_.write_rps * share, clock_.now());
+  pump();
+}
+
+void StoreClient::txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done) {
+  Job job{"POST", "/txn", wire::render_txn(t), static_cast<double>(t.writes.size()), {}, kTimeout, {}};
+  job.done = [done = std::move(done)](net::Result r) {
+    TxnResult out;
+    if (!r.answered()) {
+      out.outcome = r.sent ? Outcome::kUnknown : Outcome::kRefused;
+    } else if (r.status == 409) {
+      out.outcome = Outcome::kConflict;
+    } else if (r.status == 503 || r.status == 429) {
+      out.outcome = Outcome::kRefused;
+    } else if (r.status == 200) {
+      try {
+        out.revision = wire::parse_revision(wire::parse_object(r.body));
+        out.outcome = Outcome::kOk;
+      } catch (const wire::WireError& e) {
+        spdlog::error("state service: answer to a transaction dropped: {}", e.what());
+        out.outcome = Outcome::kUnknown;
+      }
+    } else {
+      spdlog::error("state service: a transaction was answered {}: {}", r.status, r.body.substr(0, 200));
+      out.outcome = Outcome::kBad;
+    }
+    done(out);
+  };
+  enqueue(std::move(job), u);
+}
+
+void StoreClient::get(std::string target, Urgency u, std::function<void(ReadResult)> done) {
+  enqueue({"GET", std::move(target), "", 0, {}, kTimeout,
+           [done = std::move(done)](net::Result r) { done(to_read(r)); }},
+          u);
+}
+
+void StoreClient::hold(std::uint32_t ttl_ms, std::function<void(ReadResult)> done) {
+  enqueue({"POST", "/holds", wire::render_hold(ttl_ms), 0, {}, kTimeout,
+           [done = std::move(done)](net::Result r) { done(to_read(r)); }},
+          Urgency::kRole);
+}
+
+void StoreClient::renew(HoldId id, std::function<void(ReadResult)> done) {
+  enqueue({"POST", wire::hold_target(id) + "/renew", "{}", 0, {}, kTimeout,
+           [done = std::move(done)](net::Result r) { done(to_read(r)); }},
+          Urgency::kRole);
+}
+
+void StoreClient::enqueue(Job job, Urgency u) {
+  if (stopped_) return job.done({});
+  job.deadline = clock_.now() + kQueueWait;
+  queues_[static_cast<std::size_t>(u)].push_back(std::move(job));
+  pump();
+}
+
+Duration StoreClient::write_wait(Urgency u) const {
+  double queued = 0;
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(u); ++i)
+    for (const auto& j : queues_[i]) queued += j.writes;
+  return from_seconds(queued / std::max(0.1, limits_.write_rps * share_));
+}
+
+void StoreClient::pump() {
+  if (stopped_) return;
+  auto now = clock_.now();
+  Instant wake = Instant::max();
+  std::vector<Job> late;
+  for (std::size_t i = 0; i < kUrgencies; ++i) {
+    auto& q = queues_[i];
+    bool urgent = i == static_cast<std::size_t>(Urgency::kRole);
+    while (!q.empty()) {
+      if (q.front().deadline <= now) {
+        late.push_back(std::move(q.front()));
+        q.pop_front();
+        continue;
+      }
+      double w = q.front().writes;
+      auto ready = requests_.ready_at(1, urgent, now);
+      if (w > 0) ready = std::max(ready, writes_.ready_at(w, urgent, now));
+      if (ready > now) {
+        // Those behind it wait as well: a steady stream of small requests must not starve a large one.
+        wake = std::min({wake, ready, q.front().deadline});
+        break;
+      }
+      requests_.take(1, urgent, now);
+      if (w > 0) writes_.take(w, urgent, now);
+      Job job = std::move(q.front());
+      q.pop_front();
+      http_->request(std::move(job.method), std::move(job.target), std::move(job.body), job.timeout,
+                     [weak = weak_from_this(), done = std::move(job.done)](net::Result r) {
+                       if (auto me = weak.lock()) me->judge(r);
+                       done(std::move(r));
+                     });
+    }
+    if (wake != Instant::max()) break;  // what is less urgent waits behind it
+  }
+  if (wake != Instant::max()) {
+    timer_.expires_at(wake);
+    timer_.async_wait([weak = weak_from_this()](std::error_code ec) {
+      if (auto me = weak.lock(); me && !ec) me->pump();
+    });
+  }
+  for (auto& j : late) j.done({});
+}
+
+void StoreClient::judge(const net::Result& r) {
+  if (r.status == 429) {
+    auto now = clock_.now();
+    requests_.drain(now);
+    writes_.drain(now);
+    spdlog::info("state service: too many requests; this node pauses its own");
+    return;
+  }
+  if (r.answered() && r.status != 503) {
+    failing_since_.reset();
+  } else if (!failing_since_) {
+    failing_since_ = clock_.now();
+  }
+}
+
+void StoreClient::stop() {
+  stopped_ = true;
+  timer_.cancel();
+  for (auto& q : queues_) {
+    auto jobs = std::move(q);
+    q.clear();
+    for (auto& j : jobs) j.done({});
+  }
+  http_->stop();
+}
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/src/store/client.h
@@ -0,0 +1,86 @@
+// Client of the state service. Requests wait here for their share of its limits, the most urgent first.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "net/http_client.h"
+#include "store/budget.h"
+#include "wire/store.h"
+
+namespace beaconsill::store {
+
+enum class Urgency { kRole, kUser, kWork, kTidy };
+constexpr std::size_t kUrgencies = 4;
+
+enum class Outcome {
+  kOk,
+  kConflict,  // 409: nothing was changed
+  kRefused,   // not executed: an outage, a limit, or no time to send it
+  kUnknown,   // no answer: it may have been executed, or may still be
+  kBad,       // 400, 404, 410 or an answer that makes no sense
+};
+
+struct TxnResult {
+  Outcome outcome = Outcome::kRefused;
+  Revision revision;
+};
+struct ReadResult {
+  Outcome outcome = Outcome::kRefused;
+  int status = 0;
+  wire::Json body;
+};
+
+struct StoreLimits {
+  double rps = 0;
+  double write_rps = 0;
+  std::size_t txn_ops = 0;
+  std::size_t value_bytes = 0;
+};
+
+class StoreClient : public std::enable_shared_from_this<StoreClient> {
+ public:
+  StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits, double share);
+
+  void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done);
+  void get(std::string target, Urgency u, std::function<void(ReadResult)> done);
+  void hold(std::uint32_t ttl_ms, std::function<void(ReadResult)> done);
+  void renew(HoldId id, std::function<void(ReadResult)> done);
+
+  // This node's part of the service's limits.
+  void set_share(double share);
+  const StoreLimits& limits() const { return limits_; }
+  // How long a change of this urgency would wait now: what overload is judged by.
+  Duration write_wait(Urgency u) const;
+  // Since when every answer was a refusal or none came; nothing if the last one was good.
+  std::optional<Instant> failing_since() const { return failing_since_; }
+  void stop();
+
+ private:
+  struct Job {
+    std::string method, target, body;
+    double writes = 0;
+    Instant deadline;
+    Duration timeout;
+    std::function<void(net::Result)> done;
+  };
+  void enqueue(Job job, Urgency u);
+  void pump();
+  void judge(const net::Result& r);
+
+  asio::io_context& io_;
+  const Clock& clock_;
+  std::shared_ptr<net::HttpClient> http_;
+  StoreLimits limits_;
+  double share_;
+  Budget requests_, writes_;
+  std::array<std::deque<Job>, kUrgencies> queues_;
+  asio::steady_timer timer_;
+  std::optional<Instant> failing_since_;
+  bool stopped_ = false;
+};
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/src/store/records.cpp
@@ -0,0 +1,135 @@
+#include "store/records.h"
+
+namespace beaconsill::store {
+namespace {
+
+using wire::Json;
+using wire::WireError;
+
+Ranges parse_ranges(const Json& j, const char* field) {
+  const Json& f = wire::need(j, field);
+  if (!f.is_string()) throw WireError(std::string(field) + " is not a string");
+  auto r = Ranges::parse(f.get_ref<const std::string&>());
+  if (!r) throw WireError(std::string(field) + " is not a set of ranges");
+  return *r;
+}
+
+const Json& need_list(const Json& j, const char* field) {
+  const Json& f = wire::need(j, field);
+  if (!f.is_array()) throw WireError(std::string(field) + " is not a list");
+  return f;
+}
+
+std::string key(std::string_view kind, std::string_view name) {
+  return std::string(kPrefix) + std::string(kind) + '/' + std::string(name);
+}
+
+}  // namespace
+
+std::string job_key(const JobId& id) { return key("jobs", id.value()); }
+std::string end_key(const JobId& id) { return key("ends", id.value()); }
+std::string grants_key(const JobId& id) { return key("grants", id.value()); }
+std::string progress_key(PartId part, const JobId& id) {
+  return key("progress", std::to_string(part.value()) + '/' + id.value());
+}
+std::string machines_key(PartId part, std::uint32_t bucket) {
+  return key("machines", std::to_string(part.value()) + '/' + std::to_string(bucket));
+}
+std::string part_role_key(PartId part) { return key("roles", "part/" + std::to_string(part.value())); }
+std::string leader_role_key() { return key("roles", "leader"); }
+std::string alive_key(const NodeName& node) { return key("alive", node.value()); }
+
+std::uint32_t machine_bucket(const MachineName& name) {
+  return static_cast<std::uint32_t>(stable_hash(name.value()) >> 32) % kMachineBuckets;
+}
+
+Json to_json(const JobRecord& r) {
+  return {{"job", wire::job_to_json(*r.spec)}, {"at", r.submitted.value()}};
+}
+
+JobRecord parse_job_record(const Json& j) {
+  const Json& at = wire::need(j, "at");
+  if (!at.is_number_integer()) throw WireError("at is not an integer");
+  return {std::make_shared<const wire::JobSpec>(wire::parse_job(wire::need(j, "job"))),
+          WallMs(at.get<std::int64_t>())};
+}
+
+Json to_json(const Ending& e) {
+  return {{"end", e.end == End::kDone ? "done" : "cancelled"}, {"done", e.done}};
+}
+
+Ending parse_ending(const Json& j) {
+  auto s = wire::get_string(j, "end");
+  auto done = static_cast<std::uint32_t>(wire::get_count(j, "done"));
+  if (s == "done") return {End::kDone, done};
+  if (s == "cancelled") return {End::kCancelled, done};
+  throw WireError("end is unknown");
+}
+
+Json to_json(const Grants& g) {
+  Json chunks = Json::array();
+  for (const auto& c : g.chunks) {
+    Json e{{"g", c.generation.value()}, {"p", c.part.value()}, {"t", c.term.value()}, {"r", c.tasks.str()}};
+    if (c.zone) e["z"] = c.zone->value();
+    if (c.preempt) e["x"] = true;
+    if (c.gang_attempt.value()) e["a"] = c.gang_attempt.value();
+    chunks.push_back(std::move(e));
+  }
+  return {{"last", g.last.value()}, {"chunks", std::move(chunks)}};
+}
+
+Grants parse_grants(const Json& j) {
+  Grants g;
+  g.last = Generation(wire::get_count(j, "last"));
+  for (const Json& e : need_list(j, "chunks")) {
+    Chunk c;
+    c.generation = Generation(wire::get_count(e, "g"));
+    c.part = PartId(static_cast<std::uint32_t>(wire::get_count(e, "p")));
+    c.term = Term(wire::get_count(e, "t"));
+    c.tasks = parse_ranges(e, "r");
+    if (wire::find(e, "z")) c.zone = Zone(wire::get_string(e, "z"));
+    c.preempt = wire::get_bool_or(e, "x", false);
+    if (wire::find(e, "a")) c.gang_attempt = Attempt(wire::get_count(e, "a"));
+    g.chunks.push_back(std::move(c));
+  }
+  return g;
+}
+
+Json to_json(const Progress& p) {
+  Json returned = Json::array();
+  for (const auto& r : p.returned) returned.push_back({{"g", r.generation.value()}, {"r", r.tasks.str()}});
+  return {{"done", p.done.str()}, {"returned", std::move(returned)}};
+}
+
+Progress parse_progress(const Json& j) {
+  Progress p;
+  p.done = parse_ranges(j, "done");
+  for (const Json& e : need_list(j, "returned"))
+    p.returned.push_back({Generation(wire::get_count(e, "g")), parse_ranges(e, "r")});
+  return p;
+}
+
+Json to_json(const Role& r) {
+  return {{"node", r.node.value()}, {"term", r.term.value()}};
+}
+
+Role parse_role(const Json& j) {
+  return {NodeName(wire::get_string(j, "node")), Term(wire::get_count(j, "term"))};
+}
+
+Json to_json(const std::vector<MachineRecord>& machines) {
+  Json list = Json::array();
+  for (const auto& m : machines)
+    list.push_back({{"n", m.name.value()}, {"t", m.type.value()}, {"z", m.zone.value()}, {"s", m.spot}});
+  return {{"machines", std::move(list)}};
+}
+
+std::vector<MachineRecord> parse_machines(const Json& j) {
+  std::vector<MachineRecord> v;
+  for (const Json& e : need_list(j, "machines"))
+    v.push_back({MachineName(wire::get_string(e, "n")), MachineType(wire::get_string(e, "t")),
+                 Zone(wire::get_string(e, "z")), wire::get_bool(e, "s")});
+  return v;
+}
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/src/store/records.h
@@ -0,0 +1,91 @@
+// What the service keeps in the state service: the keys, one writer each, and the forms of their values.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ranges.h"
+#include "wire/api.h"
+
+namespace beaconsill::store {
+
+constexpr std::string_view kPrefix = "beaconsill/";
+
+enum class End { kDone, kCancelled };
+struct Ending {
+  End end = End::kDone;
+  std::uint32_t done = 0;  // tasks that had completed, for display
+};
+
+// Tasks that the leader gave to a part. A task is in at most one chunk of its job.
+struct Chunk {
+  Generation generation;
+  PartId part;
+  Term term;  // of the part, as the leader knew it: to an owner of a higher term this is an earlier grant
+  Ranges tasks;
+  std::optional<Zone> zone;  // the only zone for these tasks (jobs that set together or scatter)
+  bool preempt = false;      // room for them is to be made by stopping work of lower priority
+  Attempt gang_attempt;      // gangs: the attempt number shared by all tasks
+  bool operator==(const Chunk&) const = default;
+};
+struct Grants {
+  std::vector<Chunk> chunks;
+  Generation last;  // highest generation ever used for the job
+};
+struct Returned {
+  Generation generation;
+  Ranges tasks;
+  bool operator==(const Returned&) const = default;
+};
+struct Progress {
+  Ranges done;
+  std::vector<Returned> returned;
+  bool operator==(const Progress&) const = default;
+};
+struct Role {
+  NodeName node;
+  Term term;
+};
+struct MachineRecord {
+  MachineName name;
+  MachineType type;
+  Zone zone;
+  bool spot = false;
+  bool operator==(const MachineRecord&) const = default;
+};
+struct JobRecord {
+  std::shared_ptr<const wire::JobSpec> spec;
+  WallMs submitted;
+};
+
+// Keys.
+std::string job_key(const JobId& id);
+std::string end_key(const JobId& id);
+std::string grants_key(const JobId& id);
+std::string progress_key(PartId part, const JobId& id);
+std::string machines_key(PartId part, std::uint32_t bucket);
+std::string part_role_key(PartId part);
+std::string leader_role_key();
+std::string alive_key(const NodeName& node);
+
+// Machines of a part are spread over this many keys, so that no value outgrows the limit.
+constexpr std::uint32_t kMachineBuckets = 4;
+std::uint32_t machine_bucket(const MachineName& name);
+
+// Values. The parsers throw wire::WireError.
+wire::Json to_json(const JobRecord& r);
+wire::Json to_json(const Ending& e);
+wire::Json to_json(const Grants& g);
+wire::Json to_json(const Progress& p);
+wire::Json to_json(const Role& r);
+wire::Json to_json(const std::vector<MachineRecord>& m);
+JobRecord parse_job_record(const wire::Json& j);
+Ending parse_ending(const wire::Json& j);
+Grants parse_grants(const wire::Json& j);
+Progress parse_progress(const wire::Json& j);
+Role parse_role(const wire::Json& j);
+std::vector<MachineRecord> parse_machines(const wire::Json& j);
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/src/store/view.cpp
@@ -0,0 +1,183 @@
+#include "store/view.h"
+
+#include <charconv>
+
+#include "base/log.h"
+
+namespace beaconsill::store {
+namespace {
+
+std::optional<std::uint32_t> number(std::string_view s) {
+  std::uint32_t n = 0;
+  auto [p, ec] = std::from_chars(s.data(), s.data() + s.size(), n);
+  if (ec != std::errc() || p != s.data() + s.size()) return std::nullopt;
+  return n;
+}
+
+// Splits "a/b" at the first slash.
+std::pair<std::string_view, std::string_view> split(std::string_view s) {
+  auto slash = s.find('/');
+  if (slash == std::string_view::npos) return {s, {}};
+  return {s.substr(0, slash), s.substr(slash + 1)};
+}
+
+template <class T, class Parse>
+bool update(Versioned<T>& slot, const wire::Change& c, Parse parse) {
+  if (c.version <= slot.version) return false;
+  if (c.value) {
+    slot.value = parse(*c.value);
+    slot.version = c.version;
+  } else {
+    slot = {};
+  }
+  return true;
+}
+
+}  // namespace
+
+Ranges given_back(const Progress& p, Generation g) {
+  for (const auto& r : p.returned)
+    if (r.generation == g) return r.tasks;
+  return {};
+}
+
+Ranges Job::done() const {
+  Ranges r;
+  for (const auto& [part, p] : progress) r.add(p.value.done);
+  return r;
+}
+
+Ranges Job::outstanding(PartId part) const {
+  Ranges out;
+  auto it = progress.find(part);
+  for (const auto& c : grants.value.chunks) {
+    if (c.part != part) continue;
+    Ranges r = c.tasks;
+    if (it != progress.end()) r.remove(given_back(it->second.value, c.generation));
+    out.add(r);
+  }
+  if (!out.empty()) out.remove(done());
+  return out;
+}
+
+Ranges Job::outstanding() const {
+  Ranges out;
+  for (const auto& c : grants.value.chunks) {
+    Ranges r = c.tasks;
+    auto it = progress.find(c.part);
+    if (it != progress.end()) r.remove(given_back(it->second.value, c.generation));
+    out.add(r);
+  }
+  out.remove(done());
+  return out;
+}
+
+const Job* View::job(const JobId& id) const {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() || !it->second.record.spec ? nullptr : &it->second;
+}
+
+const Versioned<Ending>& View::ending(const JobId& id) const {
+  static const Versioned<Ending> kNone;
+  auto it = ends_.find(id);
+  return it == ends_.end() ? kNone : it->second;
+}
+
+std::optional<End> View::end(const JobId& id) const {
+  const auto& e = ending(id);
+  if (!e.exists()) return std::nullopt;
+  return e.value.end;
+}
+
+const Versioned<Role>& View::part_role(PartId part) const {
+  static const Versioned<Role> kNone;
+  auto it = parts_.find(part);
+  return it == parts_.end() ? kNone : it->second;
+}
+
+bool View::alive(const NodeName& node) const {
+  return alive_version(node).value() != 0;
+}
+
+Revision View::alive_version(const NodeName& node) const {
+  auto it = alive_.find(node);
+  return it == alive_.end() ? Revision() : it->second;
+}
+
+const Versioned<std::vector<MachineRecord>>& View::machines(PartId part, std::uint32_t bucket) const {
+  static const Versioned<std::vector<MachineRecord>> kNone;
+  auto it = machines_.find({part, bucket});
+  return it == machines_.end() ? kNone : it->second;
+}
+
+void View::clear() {
+  jobs_.clear();
+  ends_.clear();
+  parts_.clear();
+  leader_ = {};
+  alive_.clear();
+  machines_.clear();
+  touched_ = {};
+}
+
+View::Touched View::take_touched() {
+  return std::exchange(touched_, {});
+}
+
+void View::apply(const wire::Change& c) {
+  if (!c.key.starts_with(kPrefix)) return;
+  auto [kind, rest] = split(std::string_view(c.key).substr(kPrefix.size()));
+  try {
+    if (kind == "jobs" || kind == "grants") {
+      apply_job(JobId(std::string(rest)), c);
+    } else if (kind == "progress") {
+      apply_job(JobId(std::string(split(rest).second)), c);
+    } else if (kind == "ends") {
+      JobId id{std::string(rest)};
+      auto& slot = ends_[id];
+      update(slot, c, parse_ending);
+      if (!slot.exists()) ends_.erase(id);
+      touched_.jobs.insert(id);
+    } else if (kind == "roles") {
+      auto [role, name] = split(rest);
+      if (role == "leader") {
+        touched_.roles |= update(leader_, c, parse_role);
+      } else if (auto n = number(name); role == "part" && n) {
+        touched_.roles |= update(parts_[PartId(*n)], c, parse_role);
+      }
+    } else if (kind == "alive") {
+      auto& version = alive_[NodeName(std::string(rest))];
+      if (c.version > version) {
+        version = c.value ? c.version : Revision();
+        touched_.roles = true;
+      }
+    } else if (kind == "machines") {
+      auto [part, bucket] = split(rest);
+      auto p = number(part), b = number(bucket);
+      if (p && b && update(machines_[{PartId(*p), *b}], c, parse_machines)) touched_.machines.insert(PartId(*p));
+    }
+  } catch (const wire::WireError& e) {
+    spdlog::error("state service: value of {} not understood: {}", c.key, e.what());
+  }
+}
+
+void View::apply_job(const JobId& id, const wire::Change& c) {
+  auto [kind, rest] = split(std::string_view(c.key).substr(kPrefix.size()));
+  auto& job = jobs_[id];
+  if (kind == "jobs") {
+    if (c.version > job.created) {
+      job.record = c.value ? parse_job_record(*c.value) : JobRecord{};
+      job.created = c.value ? c.version : Revision();
+    }
+  } else if (kind == "grants") {
+    update(job.grants, c, parse_grants);
+  } else if (auto part = number(split(rest).first)) {
+    auto& p = job.progress[PartId(*part)];
+    update(p, c, parse_progress);
+    if (!p.exists()) job.progress.erase(PartId(*part));
+  }
+  if (!job.record.spec && !job.grants.exists() && job.progress.empty()) jobs_.erase(id);
+  touched_.jobs.insert(id);
+}
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/src/store/view.h
@@ -0,0 +1,75 @@
+// The state service's content as this node knows it, in typed form. Changes may arrive in any order and more
+// than once: for each key the one with the highest version stands.
+#pragma once
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "store/records.h"
+#include "wire/store.h"
+
+namespace beaconsill::store {
+
+template <class T>
+struct Versioned {
+  T value{};
+  Revision version;  // 0: the key doesn't exist
+  bool exists() const { return version.value() != 0; }
+};
+
+struct Job {
+  JobRecord record;
+  Revision created;
+  Versioned<Grants> grants;
+  std::map<PartId, Versioned<Progress>> progress;
+
+  // Tasks that a part has recorded as done.
+  Ranges done() const;
+  // Tasks granted to a part, neither done nor given back: they may be on one of its machines.
+  Ranges outstanding(PartId part) const;
+  Ranges outstanding() const;
+};
+
+// Whether the part has given back these tasks of a chunk.
+Ranges given_back(const Progress& p, Generation g);
+
+class View {
+ public:
+  struct Touched {
+    std::set<JobId> jobs;
+    bool roles = false;  // roles or liveness
+    std::set<PartId> machines;
+    bool any() const { return roles || !jobs.empty() || !machines.empty(); }
+  };
+
+  void apply(const wire::Change& c);
+  // Forgets everything, for a new load.
+  void clear();
+  // What has changed since the last call.
+  Touched take_touched();
+
+  const std::map<JobId, Job>& jobs() const { return jobs_; }
+  const Job* job(const JobId& id) const;
+  std::optional<End> end(const JobId& id) const;
+  const Versioned<Ending>& ending(const JobId& id) const;
+  const Versioned<Role>& leader() const { return leader_; }
+  const Versioned<Role>& part_role(PartId part) const;
+  bool alive(const NodeName& node) const;
+  Revision alive_version(const NodeName& node) const;
+  const Versioned<std::vector<MachineRecord>>& machines(PartId part, std::uint32_t bucket) const;
+
+ private:
+  void apply_job(const JobId& id, const wire::Change& c);
+
+  std::map<JobId, Job> jobs_;  // also those known only by a grant or progress, until their job comes: see job()
+  std::unordered_map<JobId, Versioned<Ending>> ends_;
+  std::map<PartId, Versioned<Role>> parts_;
+  Versioned<Role> leader_;
+  std::map<NodeName, Revision> alive_;
+  std::map<std::pair<PartId, std::uint32_t>, Versioned<std::vector<MachineRecord>>> machines_;
+  Touched touched_;
+};
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/src/wire/peer.capnp
@@ -0,0 +1,111 @@
+@0xd4c1a7be0f3e5a91;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("beaconsill::peer");
+
+# One message between two controllers. All of them only make things quick: losing or repeating any of them
+# breaks nothing, the state service and the workers are the truth.
+struct Message {
+  from @0 :Text;
+  union {
+    heartbeat @1 :Heartbeat;
+    nudge @2 :Nudge;
+    ask @3 :Ask;
+    answer @4 :Answer;
+    summary @5 :Summary;
+    release @6 :Machines;
+    gone @7 :Machines;
+  }
+}
+
+struct Heartbeat {
+  # The sender has told no user of a cancellation that is newer than this revision. 2^64-1: not known yet.
+  toldRevision @0 :UInt64;
+  # The sender answers no machine of this part under a term lower than the one given.
+  terms @1 :List(PartTerm);
+  # Numbers this heartbeat, and gives the last number received: what the sender says here it said after the
+  # receiver had sent that one. Without it a message that was held up would pass for fresh.
+  sequence @2 :UInt64;
+  echo @3 :UInt64;
+  # The sender's own requests to the state service succeed.
+  stateOk @4 :Bool;
+}
+
+struct PartTerm {
+  part @0 :UInt32;
+  term @1 :UInt64;
+}
+
+# The state service has changes up to this revision that the receiver should look at.
+struct Nudge {
+  revision @0 :UInt64;
+}
+
+struct Shape {
+  cpus @0 :Float64;
+  gpus @1 :Float64;
+  memoryGb @2 :Float64;
+  anyType @3 :Bool;
+  types @4 :List(Text);
+  zone @5 :Text;
+  spot @6 :Bool;
+  image @7 :Text;
+  priority @8 :UInt8;
+  wanted @9 :UInt32;
+}
+
+struct Ask {
+  round @0 :UInt64;
+  shapes @1 :List(Shape);
+}
+
+struct ZoneRoom {
+  zone @0 :Text;
+  free @1 :UInt32;
+  # Of the free, on machines that hold the image already.
+  warm @2 :UInt32;
+  # Further room if work of lower priority were stopped.
+  preemptible @3 :UInt32;
+}
+
+struct Answer {
+  round @0 :UInt64;
+  part @1 :UInt32;
+  term @2 :UInt64;
+  # Grants up to this revision were known when the part answered.
+  seenRevision @3 :UInt64;
+  rooms @4 :List(ShapeRoom);
+}
+
+struct ShapeRoom {
+  zones @0 :List(ZoneRoom);
+}
+
+struct Summary {
+  part @0 :UInt32;
+  term @1 :UInt64;
+  seenRevision @2 :UInt64;
+  machines @3 :List(MachineRoom);
+  running @4 :List(JobCount);
+}
+
+struct MachineRoom {
+  name @0 :Text;
+  type @1 :Text;
+  zone @2 :Text;
+  spot @3 :Bool;
+  cpus @4 :Float64;
+  gpus @5 :Float64;
+  memoryGb @6 :Float64;
+  idleS @7 :Float64;
+  usable @8 :Bool;
+}
+
+struct JobCount {
+  job @0 :Text;
+  running @1 :UInt32;
+}
+
+struct Machines {
+  names @0 :List(Text);
+}
--- /dev/null
+++ b/src/wire/peer.cpp
@@ -0,0 +1,200 @@
+#include "wire/peer.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <cstring>
+
+#include "wire/peer.capnp.h"
+
+namespace beaconsill::wire {
+namespace {
+
+template <class... F>
+struct Overloaded : F... {
+  using F::operator()...;
+};
+template <class... F>
+Overloaded(F...) -> Overloaded<F...>;
+
+std::string text(capnp::Text::Reader t) {
+  return {t.cStr(), t.size()};
+}
+
+void put_names(peer::Machines::Builder b, const std::vector<MachineName>& names) {
+  auto list = b.initNames(names.size());
+  for (std::size_t i = 0; i < names.size(); ++i) list.set(i, names[i].value());
+}
+
+std::vector<MachineName> get_names(peer::Machines::Reader r) {
+  std::vector<MachineName> v;
+  for (auto n : r.getNames()) v.emplace_back(text(n));
+  return v;
+}
+
+void put_shape(peer::Shape::Builder b, const Shape& s) {
+  b.setCpus(s.each.cpus);
+  b.setGpus(s.each.gpus);
+  b.setMemoryGb(s.each.memory_gb);
+  b.setAnyType(!s.types);
+  if (s.types) {
+    auto list = b.initTypes(s.types->size());
+    for (std::size_t i = 0; i < s.types->size(); ++i) list.set(i, (*s.types)[i].value());
+  }
+  if (s.zone) b.setZone(s.zone->value());
+  b.setSpot(s.spot);
+  b.setImage(s.image.value());
+  b.setPriority(static_cast<std::uint8_t>(s.priority));
+  b.setWanted(s.wanted);
+}
+
+Shape get_shape(peer::Shape::Reader r) {
+  Shape s;
+  s.each = {r.getCpus(), r.getGpus(), r.getMemoryGb()};
+  if (!r.getAnyType()) {
+    s.types.emplace();
+    for (auto t : r.getTypes()) s.types->emplace_back(text(t));
+  }
+  if (r.getZone().size() > 0) s.zone = Zone(text(r.getZone()));
+  s.spot = r.getSpot();
+  s.image = ImageName(text(r.getImage()));
+  s.priority = static_cast<Priority>(std::min<int>(r.getPriority(), static_cast<int>(Priority::kProduction)));
+  s.wanted = r.getWanted();
+  return s;
+}
+
+PeerBody get_body(peer::Message::Reader m) {
+  switch (m.which()) {
+    case peer::Message::HEARTBEAT: {
+      auto r = m.getHeartbeat();
+      Heartbeat h{Revision(r.getToldRevision()), {}, r.getSequence(), r.getEcho(), r.getStateOk()};
+      for (auto t : r.getTerms()) h.terms.push_back({PartId(t.getPart()), Term(t.getTerm())});
+      return h;
+    }
+    case peer::Message::NUDGE: return Nudge{Revision(m.getNudge().getRevision())};
+    case peer::Message::ASK: {
+      Ask a;
+      a.round = m.getAsk().getRound();
+      for (auto s : m.getAsk().getShapes()) a.shapes.push_back(get_shape(s));
+      return a;
+    }
+    case peer::Message::ANSWER: {
+      auto r = m.getAnswer();
+      Answer a{r.getRound(), PartId(r.getPart()), Term(r.getTerm()), Revision(r.getSeenRevision()), {}};
+      for (auto s : r.getRooms()) {
+        ShapeRoom room;
+        for (auto z : s.getZones())
+          room.push_back({Zone(text(z.getZone())), z.getFree(), z.getWarm(), z.getPreemptible()});
+        a.rooms.push_back(std::move(room));
+      }
+      return a;
+    }
+    case peer::Message::SUMMARY: {
+      auto r = m.getSummary();
+      Summary s{PartId(r.getPart()), Term(r.getTerm()), Revision(r.getSeenRevision()), {}, {}};
+      for (auto e : r.getMachines())
+        s.machines.push_back({MachineName(text(e.getName())), MachineType(text(e.getType())), Zone(text(e.getZone())),
+                              e.getSpot(), {e.getCpus(), e.getGpus(), e.getMemoryGb()}, e.getIdleS(), e.getUsable()});
+      for (auto c : r.getRunning()) s.running.push_back({JobId(text(c.getJob())), c.getRunning()});
+      return s;
+    }
+    case peer::Message::RELEASE: return Release{get_names(m.getRelease())};
+    case peer::Message::GONE: return Gone{get_names(m.getGone())};
+  }
+  KJ_FAIL_REQUIRE("unknown kind of message");
+}
+
+void put_body(peer::Message::Builder m, const PeerBody& body) {
+  std::visit(Overloaded{
+                 [&](const Heartbeat& h) {
+                   auto b = m.initHeartbeat();
+                   b.setToldRevision(h.told.value());
+                   b.setSequence(h.sequence);
+                   b.setEcho(h.echo);
+                   b.setStateOk(h.state_ok);
+                   auto list = b.initTerms(h.terms.size());
+                   for (std::size_t i = 0; i < h.terms.size(); ++i) {
+                     list[i].setPart(h.terms[i].part.value());
+                     list[i].setTerm(h.terms[i].term.value());
+                   }
+                 },
+                 [&](const Nudge& n) { m.initNudge().setRevision(n.revision.value()); },
+                 [&](const Ask& a) {
+                   auto b = m.initAsk();
+                   b.setRound(a.round);
+                   auto list = b.initShapes(a.shapes.size());
+                   for (std::size_t i = 0; i < a.shapes.size(); ++i) put_shape(list[i], a.shapes[i]);
+                 },
+                 [&](const Answer& a) {
+                   auto b = m.initAnswer();
+                   b.setRound(a.round);
+                   b.setPart(a.part.value());
+                   b.setTerm(a.term.value());
+                   b.setSeenRevision(a.seen.value());
+                   auto rooms = b.initRooms(a.rooms.size());
+                   for (std::size_t i = 0; i < a.rooms.size(); ++i) {
+                     auto zones = rooms[i].initZones(a.rooms[i].size());
+                     for (std::size_t k = 0; k < a.rooms[i].size(); ++k) {
+                       zones[k].setZone(a.rooms[i][k].zone.value());
+                       zones[k].setFree(a.rooms[i][k].free);
+                       zones[k].setWarm(a.rooms[i][k].warm);
+                       zones[k].setPreemptible(a.rooms[i][k].preemptible);
+                     }
+                   }
+                 },
+                 [&](const Summary& s) {
+                   auto b = m.initSummary();
+                   b.setPart(s.part.value());
+                   b.setTerm(s.term.value());
+                   b.setSeenRevision(s.seen.value());
+                   auto ms = b.initMachines(s.machines.size());
+                   for (std::size_t i = 0; i < s.machines.size(); ++i) {
+                     const auto& x = s.machines[i];
+                     ms[i].setName(x.name.value());
+                     ms[i].setType(x.type.value());
+                     ms[i].setZone(x.zone.value());
+                     ms[i].setSpot(x.spot);
+                     ms[i].setCpus(x.free.cpus);
+                     ms[i].setGpus(x.free.gpus);
+                     ms[i].setMemoryGb(x.free.memory_gb);
+                     ms[i].setIdleS(x.idle_s);
+                     ms[i].setUsable(x.usable);
+                   }
+                   auto rs = b.initRunning(s.running.size());
+                   for (std::size_t i = 0; i < s.running.size(); ++i) {
+                     rs[i].setJob(s.running[i].job.value());
+                     rs[i].setRunning(s.running[i].running);
+                   }
+                 },
+                 [&](const Release& r) { put_names(m.initRelease(), r.machines); },
+                 [&](const Gone& g) { put_names(m.initGone(), g.machines); },
+             },
+             body);
+}
+
+}  // namespace
+
+std::string encode_peer(const PeerMessage& m) {
+  capnp::MallocMessageBuilder builder;
+  auto root = builder.initRoot<peer::Message>();
+  root.setFrom(m.from.value());
+  put_body(root, m.body);
+  auto words = capnp::messageToFlatArray(builder);
+  auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+std::optional<PeerMessage> decode_peer(std::string_view bytes) {
+  if (bytes.size() % sizeof(capnp::word) != 0) return std::nullopt;
+  auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+  std::memcpy(words.begin(), bytes.data(), bytes.size());
+  try {
+    capnp::FlatArrayMessageReader reader(words);
+    auto root = reader.getRoot<peer::Message>();
+    return PeerMessage{NodeName(text(root.getFrom())), get_body(root)};
+  } catch (const kj::Exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace beaconsill::wire
--- /dev/null
+++ b/src/wire/peer.h
@@ -0,0 +1,97 @@
+// What controllers say to each other: Cap'n Proto messages and their plain forms.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/types.h"
+
+namespace beaconsill::wire {
+
+struct PartTerm {
+  PartId part;
+  Term term;
+};
+struct Heartbeat {
+  Revision told;
+  std::vector<PartTerm> terms;
+  std::uint64_t sequence = 0;
+  std::uint64_t echo = 0;
+  bool state_ok = false;
+};
+struct Nudge {
+  Revision revision;
+};
+
+// What an estimate is asked for: a task's needs and the machines it may use.
+struct Shape {
+  Resources each;
+  std::optional<std::vector<MachineType>> types;
+  std::optional<Zone> zone;
+  bool spot = false;
+  ImageName image;
+  Priority priority = Priority::kNormal;
+  std::uint32_t wanted = 0;
+  bool operator==(const Shape&) const = default;
+};
+struct Ask {
+  std::uint64_t round = 0;
+  std::vector<Shape> shapes;
+};
+struct ZoneRoom {
+  Zone zone;
+  std::uint32_t free = 0;
+  std::uint32_t warm = 0;
+  std::uint32_t preemptible = 0;
+  bool operator==(const ZoneRoom&) const = default;
+};
+using ShapeRoom = std::vector<ZoneRoom>;
+struct Answer {
+  std::uint64_t round = 0;
+  PartId part;
+  Term term;
+  Revision seen;
+  std::vector<ShapeRoom> rooms;  // one for each shape asked for
+};
+struct MachineRoom {
+  MachineName name;
+  MachineType type;
+  Zone zone;
+  bool spot = false;
+  Resources free;
+  double idle_s = 0;
+  bool usable = true;
+};
+struct JobCount {
+  JobId job;
+  std::uint32_t running = 0;
+};
+struct Summary {
+  PartId part;
+  Term term;
+  Revision seen;
+  std::vector<MachineRoom> machines;
+  std::vector<JobCount> running;
+};
+struct Release {
+  std::vector<MachineName> machines;
+};
+struct Gone {
+  std::vector<MachineName> machines;
+};
+
+using PeerBody = std::variant<Heartbeat, Nudge, Ask, Answer, Summary, Release, Gone>;
+struct PeerMessage {
+  NodeName from;
+  PeerBody body;
+};
+
+std::string encode_peer(const PeerMessage& m);
+// None for anything that isn't a well-formed message.
+std::optional<PeerMessage> decode_peer(std::string_view bytes);
+
+}  // namespace beaconsill::wire
--- /dev/null
+++ b/src/wire/store.h
@@ -0,0 +1,60 @@
+// What the state service's API says.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/types.h"
+#include "wire/json.h"
+
+namespace beaconsill::wire {
+
+struct Item {
+  std::string key;
+  Json value;
+  Revision version;
+};
+// A change of a key; no value: the key was deleted.
+struct Change {
+  std::string key;
+  std::optional<Json> value;
+  Revision version;
+};
+struct Page {
+  std::vector<Item> items;
+  bool more = false;
+  Revision revision;
+};
+struct Changes {
+  std::vector<Change> changes;
+  Revision revision;
+};
+
+struct Condition {
+  std::string key;
+  Revision version;  // 0: the key doesn't exist
+};
+struct Write {
+  std::string key;
+  std::optional<Json> value;  // none: delete
+  std::optional<HoldId> hold;
+};
+struct Txn {
+  std::vector<Condition> conditions;
+  std::vector<Write> writes;
+};
+
+// These throw WireError.
+Item parse_item(const Json& j);
+Page parse_page(const Json& j);
+Changes parse_changes(const Json& j);
+Revision parse_revision(const Json& j);
+HoldId parse_hold(const Json& j);
+std::string render_txn(const Txn& t);
+std::string render_hold(std::uint32_t ttl_ms);
+std::string page_target(std::string_view prefix, std::string_view after, std::uint32_t limit);
+std::string watch_target(std::string_view prefix, Revision after, std::uint32_t wait_ms);
+inline std::string hold_target(HoldId id) { return "/holds/" + std::to_string(id.value()); }
+
+}  // namespace beaconsill::wire
--- /dev/null
+++ b/src/wire/worker.cpp
@@ -0,0 +1,83 @@
+#include "wire/worker.h"
+
+#include "wire/api.h"
+
+namespace beaconsill::wire {
+namespace {
+
+TaskState parse_state(const std::string& s) {
+  if (s == "fetching") return TaskState::kFetching;
+  if (s == "waiting") return TaskState::kWaiting;
+  if (s == "running") return TaskState::kRunning;
+  if (s == "saving") return TaskState::kSaving;
+  if (s == "ended") return TaskState::kEnded;
+  throw WireError("bearing of a task is unknown");
+}
+
+EndCause parse_cause(const std::string& s) {
+  if (s == "done") return EndCause::kDone;
+  if (s == "halted") return EndCause::kStopped;
+  if (s == "mates_gone") return EndCause::kPeersGone;
+  if (s == "alone") return EndCause::kAlone;
+  if (s == "full") return EndCause::kNoRoom;
+  if (s == "in_use") return EndCause::kBusy;
+  if (s == "unknown") return EndCause::kUnknown;
+  return EndCause::kError;  // also any cause that isn't known yet: the task ended without being done
+}
+
+}  // namespace
+
+Report parse_report(const Json& j) {
+  Report r;
+  r.machine = MachineName(get_string(j, "beacon"));
+  r.address = get_string(j, "address");
+  r.type = MachineType(get_string(j, "hull"));
+  r.zone = Zone(get_string(j, "harbour"));
+  r.spot = get_bool(j, "driftwood");
+  r.session = Session(get_count(j, "watch"));
+  r.sequence = Sequence(get_count(j, "tally"));
+  r.token = Token(get_count(j, "helm"));
+  if (find(j, "recallS")) r.notice_s = get_amount(j, "recallS");
+  const Json& tasks = need(j, "lamps");
+  if (!tasks.is_array()) throw WireError("lamps is not a list");
+  r.tasks.reserve(tasks.size());
+  for (const Json& t : tasks) {
+    TaskReport tr;
+    auto id = parse_task_id(get_string(t, "lamp"));
+    if (!id) throw WireError("lamp is not a task id");
+    tr.task = std::move(*id);
+    tr.attempt = Attempt(get_count(t, "launch"));
+    tr.state = parse_state(get_string(t, "bearing"));
+    if (tr.state == TaskState::kEnded) tr.cause = parse_cause(get_string(t, "cause"));
+    tr.saved = get_bool_or(t, "stored", false);
+    r.tasks.push_back(std::move(tr));
+  }
+  return r;
+}
+
+std::string render_report_answer(Token token) {
+  return dump(Json{{"helm", token.value()}, {"signals", Json::array()}});
+}
+
+std::string render_commands(Token token, Session session, const std::vector<Command>& commands) {
+  Json list = Json::array();
+  for (const auto& c : commands) {
+    Json e{{"lamp", task_name(c.task)}, {"launch", c.attempt.value()}};
+    switch (c.op) {
+      case Command::Op::kStart: e["signal"] = "run"; break;
+      case Command::Op::kStop:
+        e["signal"] = "kill";
+        e["dousingS"] = c.grace_s;
+        break;
+      case Command::Op::kForget: e["signal"] = "clear"; break;
+    }
+    list.push_back(std::move(e));
+  }
+  return dump(Json{{"helm", token.value()}, {"watch", session.value()}, {"signals", std::move(list)}});
+}
+
+std::string render_redirect(const std::optional<NodeName>& owner) {
+  return owner ? dump(Json{{"keeper", owner->value()}}) : std::string("{}");
+}
+
+}  // namespace beaconsill::wire
