--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -19,7 +19,11 @@
 
 Api::Api(const Clock& clock, const config::Settings& settings, std::shared_ptr<store::StoreClient> store,
          std::shared_ptr<store::Mirror> mirror, Hooks hooks)
-    : clock_(clock), settings_(settings), store_(std::move(store)), mirror_(std::move(mirror)), hooks_(std::move(hooks)) {}
+    : clock_(clock),
+      settings_(settings),
+      store_(std::move(store)),
+      mirror_(std::move(mirror)),
+      hooks_(std::move(hooks)) {}
 
 bool Api::is_user_path(const std::string& path) {
   return path.starts_with(kJobs);
@@ -51,7 +55,8 @@
 
 std::optional<wire::JobState> Api::state(const JobId& id) const {
   const auto& view = mirror_->view();
-  if (auto end = view.end(id)) return *end == store::End::kDone ? wire::JobState::kDone : wire::JobState::kCancelled;
+  if (auto end = view.end(id))
+    return *end == store::End::kDone ? wire::JobState::kDone : wire::JobState::kCancelled;
   if (!view.job(id)) return std::nullopt;
   return hooks_.running(id) > 0 ? wire::JobState::kRunning : wire::JobState::kQueued;
 }
@@ -116,7 +121,8 @@
       case store::Outcome::kUnknown:
         // Known already, or no answer: the truth is what is stored.
         return mirror_->sync(answer_known);
-      default: return reply(later("state service not reachable"));
+      default:
+        return reply(later("state service not reachable"));
     }
   });
 }
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -44,7 +44,8 @@
   std::string settings, policy;
   app.add_option("--config", settings, "the settings file (TOML)");
   app.add_option("--policy", policy, "the operators' policy file (name = expression)");
-  auto* check_command = app.add_subcommand("check", "check settings and policy, and list what the policy can say");
+  auto* check_command =
+      app.add_subcommand("check", "check settings and policy, and list what the policy can say");
   check_command->add_option("--config", settings, "the settings file (TOML)")->required();
   check_command->add_option("--policy", policy, "the operators' policy file");
   app.footer("LOG_LEVEL sets the log on standard error: error, info (default) or debug.");
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -71,7 +71,9 @@
 constexpr Duration from_seconds(double s) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
 }
-constexpr double to_seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+constexpr double to_seconds(Duration d) {
+  return std::chrono::duration<double>(d).count();
+}
 
 // The two clocks, behind an interface so that tests can move time by hand.
 class Clock {
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -9,7 +9,8 @@
 constexpr std::size_t kConnections = 2;
 
 template <class Parse>
-auto parsed(const net::Result& r, const char* what, Parse parse) -> std::optional<decltype(parse(wire::Json()))> {
+auto parsed(const net::Result& r, const char* what, Parse parse)
+    -> std::optional<decltype(parse(wire::Json()))> {
   if (r.status != 200) return std::nullopt;
   try {
     return parse(wire::parse_object(r.body));
@@ -80,7 +81,8 @@
   next_page(std::make_shared<std::vector<wire::ListedMachine>>(), std::nullopt, std::move(done));
 }
 
-void CloudClient::next_page(std::shared_ptr<std::vector<wire::ListedMachine>> so_far, std::optional<MachineName> after,
+void CloudClient::next_page(std::shared_ptr<std::vector<wire::ListedMachine>> so_far,
+                            std::optional<MachineName> after,
                             std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done) {
   enqueue(false, "GET", wire::machine_page_target(after), "",
           [weak = weak_from_this(), so_far, done = std::move(done)](net::Result r) mutable {
@@ -88,7 +90,8 @@
             auto page = parsed(r, "list of machines", wire::parse_machine_page);
             if (!me || !page) return done(std::nullopt);
             for (auto& m : page->machines) so_far->push_back(std::move(m));
-            if (page->more && !so_far->empty()) return me->next_page(so_far, so_far->back().name, std::move(done));
+            if (page->more && !so_far->empty())
+              return me->next_page(so_far, so_far->back().name, std::move(done));
             done(std::move(*so_far));
           });
 }
--- a/src/config/expr.cpp
+++ b/src/config/expr.cpp
@@ -44,8 +44,7 @@
     if (!eat(op)) fail("expected '" + std::string(op) + "'");
   }
   void need_type(const Node& n, ExprType t, std::string_view what) const {
-    if (n.type != t)
-      fail(std::string(what) + " must be a " + type_name(t) + ", not a " + type_name(n.type));
+    if (n.type != t) fail(std::string(what) + " must be a " + type_name(t) + ", not a " + type_name(n.type));
   }
 
   // c ? a : b
@@ -86,8 +85,8 @@
   Node comparison() {
     Node l = sum();
     static const std::vector<std::pair<std::string, std::function<bool(double, double)>>> kOps{
-        {"==", std::equal_to<>()},      {"!=", std::not_equal_to<>()},   {"<=", std::less_equal<>()},
-        {">=", std::greater_equal<>()}, {"<", std::less<>()},            {">", std::greater<>()}};
+        {"==", std::equal_to<>()},      {"!=", std::not_equal_to<>()}, {"<=", std::less_equal<>()},
+        {">=", std::greater_equal<>()}, {"<", std::less<>()},          {">", std::greater<>()}};
     for (const auto& [op, f] : kOps) {
       if (!eat(op)) continue;
       Node r = sum();
@@ -160,12 +159,14 @@
   }
   std::string word() {
     std::size_t b = at_;
-    while (at_ < text_.size() && (std::isalnum(static_cast<unsigned char>(text_[at_])) || text_[at_] == '_')) ++at_;
+    while (at_ < text_.size() && (std::isalnum(static_cast<unsigned char>(text_[at_])) || text_[at_] == '_'))
+      ++at_;
     return std::string(text_.substr(b, at_ - b));
   }
   Node literal() {
     double d = 0;
-    auto [p, ec] = std::from_chars(text_.data() + at_, text_.data() + text_.size(), d, std::chars_format::fixed);
+    auto [p, ec] =
+        std::from_chars(text_.data() + at_, text_.data() + text_.size(), d, std::chars_format::fixed);
     if (ec != std::errc()) fail("not a number");
     at_ = static_cast<std::size_t>(p - text_.data());
     std::string unit = word();
@@ -204,7 +205,8 @@
     }
     if (f == "clamp") {
       if (args.size() != 3) fail("clamp takes three arguments");
-      return {args[0].type, [args] { return std::max(args[1].eval(), std::min(args[0].eval(), args[2].eval())); }};
+      return {args[0].type,
+              [args] { return std::max(args[1].eval(), std::min(args[0].eval(), args[2].eval())); }};
     }
     fail("unknown function '" + f + "'");
   }
@@ -219,9 +221,12 @@
 
 const char* type_name(ExprType t) {
   switch (t) {
-    case ExprType::kNumber: return "number";
-    case ExprType::kDuration: return "duration";
-    case ExprType::kBool: return "truth value";
+    case ExprType::kNumber:
+      return "number";
+    case ExprType::kDuration:
+      return "duration";
+    case ExprType::kBool:
+      return "truth value";
   }
   return "number";
 }
--- a/src/config/policy.cpp
+++ b/src/config/policy.cpp
@@ -22,7 +22,8 @@
 
 const std::vector<KnobSpec>& specs() {
   static const std::vector<KnobSpec> kSpecs{
-      {"reply_wait", ExprType::kDuration, "2s", 0.01, 60, "wait for a part's estimate before its summary is used",
+      {"reply_wait", ExprType::kDuration, "2s", 0.01, 60,
+       "wait for a part's estimate before its summary is used",
        [](Policy& p, double v) { p.reply_wait = from_seconds(v); }},
       {"task_cap", ExprType::kNumber, "64", 1, 100000, "most tasks on one machine",
        [](Policy& p, double v) { p.task_cap = static_cast<std::uint32_t>(v); }},
@@ -73,7 +74,8 @@
 
 std::string describe_names(const Settings& s) {
   std::ostringstream os;
-  for (const auto& [name, v] : names_for(s)) os << "  " << name << " (" << type_name(v.type) << ") = " << v.value << '\n';
+  for (const auto& [name, v] : names_for(s))
+    os << "  " << name << " (" << type_name(v.type) << ") = " << v.value << '\n';
   return os.str();
 }
 
@@ -115,7 +117,8 @@
     if (!spec) throw ConfigError(where + "unknown setting '" + std::string(name) + "'");
     auto [it, fresh] = seen.emplace(name, line_number);
     if (!fresh)
-      throw ConfigError(where + std::string(name) + ": is set twice, first in line " + std::to_string(it->second));
+      throw ConfigError(where + std::string(name) + ": is set twice, first in line " +
+                        std::to_string(it->second));
     apply(*spec, trim(line.substr(eq + 1)), where);
   }
   return policy;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -133,16 +133,16 @@
   s.skew_ms = cluster.number_or("skew_ms", 0);
   std::set<Team> teams;
   for (const auto& t : cluster.tables("teams")) {
-    TeamSettings ts{Team(t.str("name")), t.number_or("cpus", 0), t.number_or("cpus_max", 0), t.number_or("gpus", 0),
-                    t.number_or("gpus_max", 0)};
+    TeamSettings ts{Team(t.str("name")), t.number_or("cpus", 0), t.number_or("cpus_max", 0),
+                    t.number_or("gpus", 0), t.number_or("gpus_max", 0)};
     if (!teams.insert(ts.name).second) t.fail("name", "is named twice");
     if (ts.cpus_max > 0 && ts.cpus > ts.cpus_max) t.fail("cpus", "is more than cpus_max");
     if (ts.gpus_max > 0 && ts.gpus > ts.gpus_max) t.fail("gpus", "is more than gpus_max");
     s.teams.push_back(std::move(ts));
   }
   for (const auto& o : cluster.tables("objectives"))
-    s.objectives.push_back({o.str("kind"), o.str_or("class", ""), o.number_or("share", 0), o.number_or("within_s", 0),
-                            o.number_or("times", 1)});
+    s.objectives.push_back({o.str("kind"), o.str_or("class", ""), o.number_or("share", 0),
+                            o.number_or("within_s", 0), o.number_or("times", 1)});
   auto workers = cluster.table("workers");
   s.report_s = workers.positive("report_s");
   s.lease_s = workers.positive("lease_s");
--- a/src/lead/capacity.cpp
+++ b/src/lead/capacity.cpp
@@ -12,7 +12,7 @@
 constexpr Duration kDeleteAgain = std::chrono::seconds(10);
 // Work that waits for less than this may yet fit where it was sent.
 constexpr Duration kPatience = std::chrono::milliseconds(1500);
-constexpr double kSlowBoot = 2.0;   // beyond so many boot times a machine isn't counted on
+constexpr double kSlowBoot = 2.0;    // beyond so many boot times a machine isn't counted on
 constexpr double kNeverBoots = 6.0;  // beyond so many it's deleted
 }  // namespace
 
@@ -32,7 +32,8 @@
   }
   // Rented long ago and still not listed: it came and went.
   std::erase_if(coming_, [&](const auto& c) {
-    return !listed_.contains(c.first) && now - c.second.rented > params_.list_lag * 3 + std::chrono::seconds(5);
+    return !listed_.contains(c.first) &&
+           now - c.second.rented > params_.list_lag * 3 + std::chrono::seconds(5);
   });
   std::erase_if(deleted_, [&](const auto& d) { return now - d.second > kDeleteAgain; });
 }
@@ -78,9 +79,10 @@
           Kind kind{name, z, spot};
           if (!part::allowed(d.shape, name, z, spot)) continue;
           if (auto r = refused_.find(kind); r != refused_.end() && now - r->second < kRefusalMemory) continue;
-          auto ours = static_cast<std::size_t>(std::count_if(listed_.begin(), listed_.end(), [&](const auto& m) {
-            return m.second.zone == z && m.second.type == name && m.second.spot == spot;
-          }));
+          auto ours =
+              static_cast<std::size_t>(std::count_if(listed_.begin(), listed_.end(), [&](const auto& m) {
+                return m.second.zone == z && m.second.type == name && m.second.spot == spot;
+              }));
           Candidate c{(spot ? t.spot_price : t.price) / fits, ours, kind, fits};
           if (!best || std::tie(c.cost, c.ours) < std::tie(best->cost, best->ours)) best = c;
         }
--- a/src/lead/capacity.h
+++ b/src/lead/capacity.h
@@ -37,7 +37,8 @@
   // Machines to delete that no owner knows: failed, or never up.
   std::vector<MachineName> dead(Instant now);
   // Idle machines that their owners may return.
-  std::vector<MachineName> surplus(const std::map<PartId, wire::Summary>& summaries, bool demand, Instant now) const;
+  std::vector<MachineName> surplus(const std::map<PartId, wire::Summary>& summaries, bool demand,
+                                   Instant now) const;
 
  private:
   struct Kind {
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-Lead::Lead(LeadParams params, std::vector<config::TeamSettings> teams, std::vector<config::Objective> objectives)
+Lead::Lead(LeadParams params, std::vector<config::TeamSettings> teams,
+           std::vector<config::Objective> objectives)
     : params_(params), teams_(std::move(teams)), objectives_(std::move(objectives)) {}
 
 std::int64_t Lead::due(const wire::JobSpec& spec, WallMs submitted) const {
@@ -44,7 +45,8 @@
   return it == usage_.end() ? Resources{} : it->second;
 }
 
-void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now, WallMs) {
+void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now,
+                  WallMs) {
   auto it = jobs_.find(id);
   if (it != jobs_.end()) ledger(it->second, -1);
   if (!job || !job->record.spec) {
@@ -81,7 +83,8 @@
   e.due_ms = due(*e.record.spec, e.record.submitted);
   if (fresh || (had_pending == 0 && !e.pending.empty())) e.waiting_since = now;
   // A new job, or a replica that lost its machine, is asked about at once.
-  if (!e.pending.empty() && (!e.granted_once || (e.record.spec->kind == JobKind::kService && e.pending.count() > had_pending)))
+  if (!e.pending.empty() &&
+      (!e.granted_once || (e.record.spec->kind == JobKind::kService && e.pending.count() > had_pending)))
     urgent_ = true;
   ledger(e, +1);
 }
@@ -241,7 +244,8 @@
           n += x.room;
         }
     }
-    // Room where the image already is goes first: a fetch takes longer than anything else on the way to a start.
+    // Room where the image already is goes first: a fetch takes longer than anything else on the way to a
+    // start.
     auto shares = split(want, sum(warm) >= want ? warm : free);
     std::uint32_t placed = 0;
     for (const auto& s : shares) placed += s.tasks;
@@ -259,7 +263,8 @@
     auto give = [&](const std::vector<Share>& list, bool force) {
       for (const auto& s : list) {
         g.grants.last = Generation(g.grants.last.value() + 1);
-        g.grants.chunks.push_back({g.grants.last, s.part, terms.at(s.part), pending.take(s.tasks), s.zone, force, {}});
+        g.grants.chunks.push_back(
+            {g.grants.last, s.part, terms.at(s.part), pending.take(s.tasks), s.zone, force, {}});
         taken[s.part] += spec.each.cpus * s.tasks;
         usage[spec.team] += spec.each * static_cast<double>(s.tasks);
       }
@@ -293,7 +298,8 @@
 std::vector<JobId> Lead::finished() const {
   std::vector<JobId> out;
   for (const auto& [id, e] : jobs_)
-    if (!e.end && e.record.spec->kind != JobKind::kService && e.done.count() == e.record.spec->tasks) out.push_back(id);
+    if (!e.end && e.record.spec->kind != JobKind::kService && e.done.count() == e.record.spec->tasks)
+      out.push_back(id);
   return out;
 }
 
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -1,5 +1,5 @@
-// The leader: a state machine that holds the queue and the ledger, asks the parts and splits by their answers.
-// It has no sockets; the node carries its wishes out.
+// The leader: a state machine that holds the queue and the ledger, asks the parts and splits by their
+// answers. It has no sockets; the node carries its wishes out.
 #pragma once
 
 #include <map>
@@ -35,7 +35,8 @@
   Lead(LeadParams params, std::vector<config::TeamSettings> teams, std::vector<config::Objective> objectives);
 
   // ---- What happens
-  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now, WallMs wall);
+  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now,
+              WallMs wall);
   void on_summary(const wire::Summary& s, Instant now);
   void on_answer(const wire::Answer& a, Instant now);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -15,7 +15,8 @@
 
 class HttpClient::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(std::shared_ptr<HttpClient> client) : client_(std::move(client)), socket_(client_->io_), timer_(client_->io_) {
+  Connection(std::shared_ptr<HttpClient> client)
+      : client_(std::move(client)), socket_(client_->io_), timer_(client_->io_) {
     parser_.data = this;
   }
 
@@ -103,21 +104,23 @@
 
   void send() {
     result_.sent = true;
-    asio::async_write(socket_, asio::buffer(job_.text), [me = shared_from_this()](std::error_code ec, std::size_t) {
-      if (me->closed_) return;
-      if (ec) return me->fail();
-    });
+    asio::async_write(socket_, asio::buffer(job_.text),
+                      [me = shared_from_this()](std::error_code ec, std::size_t) {
+                        if (me->closed_) return;
+                        if (ec) return me->fail();
+                      });
     if (!reading_) read();
   }
 
   void read() {
     reading_ = true;
-    socket_.async_read_some(asio::buffer(buffer_), [me = shared_from_this()](std::error_code ec, std::size_t n) {
-      me->reading_ = false;
-      if (me->closed_) return;
-      if (ec) return me->fail();
-      me->on_bytes(n);
-    });
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [me = shared_from_this()](std::error_code ec, std::size_t n) {
+                              me->reading_ = false;
+                              if (me->closed_) return;
+                              if (ec) return me->fail();
+                              me->on_bytes(n);
+                            });
   }
 
   void on_bytes(std::size_t n) {
@@ -165,7 +168,8 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::request(std::string method, std::string target, std::string body, Duration timeout, Callback done) {
+void HttpClient::request(std::string method, std::string target, std::string body, Duration timeout,
+                         Callback done) {
   Job job;
   job.text = method + ' ' + target + " HTTP/1.1\r\nHost: " + to_.address().to_string() + ':' +
              std::to_string(to_.port()) + "\r\n";
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -101,16 +101,17 @@
   }
 
   void read() {
-    socket_.async_read_some(asio::buffer(buffer_), [me = shared_from_this()](std::error_code ec, std::size_t n) {
-      if (me->closed_) return;
-      if (ec) return me->close();
-      if (me->phase_ == Phase::kIdle) {
-        me->phase_ = Phase::kReceiving;
-        me->arm(me->server_->limits_.receive);
-      }
-      me->pending_.append(me->buffer_.data(), n);
-      me->parse();
-    });
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [me = shared_from_this()](std::error_code ec, std::size_t n) {
+                              if (me->closed_) return;
+                              if (ec) return me->close();
+                              if (me->phase_ == Phase::kIdle) {
+                                me->phase_ = Phase::kReceiving;
+                                me->arm(me->server_->limits_.receive);
+                              }
+                              me->pending_.append(me->buffer_.data(), n);
+                              me->parse();
+                            });
   }
 
   void parse() {
@@ -158,11 +159,12 @@
     out_ += "\r\n";
     out_ += r.body;
     arm(server_->limits_.send);
-    asio::async_write(socket_, asio::buffer(out_), [me = shared_from_this()](std::error_code ec, std::size_t) {
-      if (me->closed_) return;
-      if (ec || !me->keep_alive_) return me->close();
-      me->next();
-    });
+    asio::async_write(socket_, asio::buffer(out_),
+                      [me = shared_from_this()](std::error_code ec, std::size_t) {
+                        if (me->closed_) return;
+                        if (ec || !me->keep_alive_) return me->close();
+                        me->next();
+                      });
   }
 
   void next() {
@@ -204,8 +206,14 @@
   bool closed_ = false;
 };
 
-HttpServer::HttpServer(asio::io_context& io, Tcp::endpoint at, ServerLimits limits, IsUser is_user, Handler handler)
-    : io_(io), acceptor_(io), pause_(io), limits_(limits), is_user_(std::move(is_user)), handler_(std::move(handler)) {
+HttpServer::HttpServer(asio::io_context& io, Tcp::endpoint at, ServerLimits limits, IsUser is_user,
+                       Handler handler)
+    : io_(io),
+      acceptor_(io),
+      pause_(io),
+      limits_(limits),
+      is_user_(std::move(is_user)),
+      handler_(std::move(handler)) {
   acceptor_.open(at.protocol());
   acceptor_.set_option(Tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -110,23 +110,25 @@
 
 class PeerReceiver::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(std::shared_ptr<PeerReceiver> owner, Tcp::socket s) : owner_(std::move(owner)), socket_(std::move(s)) {}
+  Connection(std::shared_ptr<PeerReceiver> owner, Tcp::socket s)
+      : owner_(std::move(owner)), socket_(std::move(s)) {}
   void read() {
-    asio::async_read(socket_, asio::buffer(head_), [me = shared_from_this()](std::error_code ec, std::size_t) {
-      if (ec) return me->close();
-      std::uint32_t n = 0;
-      for (int i = 0; i < 4; ++i) n |= static_cast<std::uint32_t>(me->head_[i]) << (8 * i);
-      if (n > kMaxFrame) {
-        spdlog::info("a peer sent a frame of {} bytes: connection closed", n);
-        return me->close();
-      }
-      me->body_.resize(n);
-      asio::async_read(me->socket_, asio::buffer(me->body_), [me](std::error_code e, std::size_t) {
-        if (e) return me->close();
-        if (!me->closed_) me->owner_->handler_(me->body_);
-        if (!me->closed_) me->read();
-      });
-    });
+    asio::async_read(
+        socket_, asio::buffer(head_), [me = shared_from_this()](std::error_code ec, std::size_t) {
+          if (ec) return me->close();
+          std::uint32_t n = 0;
+          for (int i = 0; i < 4; ++i) n |= static_cast<std::uint32_t>(me->head_[i]) << (8 * i);
+          if (n > kMaxFrame) {
+            spdlog::info("a peer sent a frame of {} bytes: connection closed", n);
+            return me->close();
+          }
+          me->body_.resize(n);
+          asio::async_read(me->socket_, asio::buffer(me->body_), [me](std::error_code e, std::size_t) {
+            if (e) return me->close();
+            if (!me->closed_) me->owner_->handler_(me->body_);
+            if (!me->closed_) me->read();
+          });
+        });
   }
   void close() {
     if (closed_) return;
@@ -144,7 +146,8 @@
   bool closed_ = false;
 };
 
-PeerReceiver::PeerReceiver(asio::io_context& io, Tcp::endpoint at, std::size_t max_connections, Handler handler)
+PeerReceiver::PeerReceiver(asio::io_context& io, Tcp::endpoint at, std::size_t max_connections,
+                           Handler handler)
     : io_(io), acceptor_(io), pause_(io), max_(max_connections), handler_(std::move(handler)) {
   acceptor_.open(at.protocol());
   acceptor_.set_option(Tcp::acceptor::reuse_address(true));
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -18,7 +18,8 @@
 
 constexpr std::size_t kMaxFrame = 1024 * 1024;
 
-// The sending side to one peer. Messages to a peer that can't be reached are dropped: they only make things quick.
+// The sending side to one peer. Messages to a peer that can't be reached are dropped: they only make things
+// quick.
 class PeerSender : public std::enable_shared_from_this<PeerSender> {
  public:
   PeerSender(asio::io_context& io, Tcp::endpoint to);
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -47,7 +47,8 @@
   p.max_writes = std::min(kMaxGrants, ctx_.settings.txn_ops);
   lead_ = std::make_unique<lead::Lead>(p, ctx_.settings.teams, ctx_.settings.objectives);
   capacity_ = std::make_unique<lead::Capacity>(
-      lead::CapacityParams{ctx_.policy.idle_return, from_seconds(ctx_.settings.list_lag_s), ctx_.policy.task_cap},
+      lead::CapacityParams{ctx_.policy.idle_return, from_seconds(ctx_.settings.list_lag_s),
+                           ctx_.policy.task_cap},
       "t" + std::to_string(term.value()) + "-");
   capacity_->set_catalogue(ctx_.catalogue);
   for (const auto& [part, s] : summaries_) lead_->on_summary(s, ctx_.now());
@@ -162,7 +163,8 @@
     const auto* job = ctx_.view().job(id);
     if (!job) continue;
     t.conditions.push_back({store::end_key(id), Revision()});
-    t.writes.push_back({store::end_key(id), store::to_json(store::Ending{store::End::kDone, job->record.spec->tasks}),
+    t.writes.push_back({store::end_key(id),
+                        store::to_json(store::Ending{store::End::kDone, job->record.spec->tasks}),
                         std::nullopt});
     ids.push_back(id);
   }
@@ -219,12 +221,16 @@
   auto now = ctx_.now();
   auto demand = lead_->demand(now);
   if (auto r = capacity_->rent(demand, now)) {
-    ctx_.cloud->rent(*r, [this, req = *r, term = term_](cloud::CloudClient::RentOutcome o, std::vector<MachineName> names) {
+    ctx_.cloud->rent(*r, [this, req = *r, term = term_](cloud::CloudClient::RentOutcome o,
+                                                        std::vector<MachineName> names) {
       if (!capacity_ || term != term_) return;
       switch (o) {
-        case cloud::CloudClient::RentOutcome::kRented: return capacity_->on_rented(req, names, ctx_.now());
-        case cloud::CloudClient::RentOutcome::kNoCapacity: return capacity_->on_refused(req, ctx_.now());
-        case cloud::CloudClient::RentOutcome::kUnanswered: return capacity_->on_unanswered(ctx_.now());
+        case cloud::CloudClient::RentOutcome::kRented:
+          return capacity_->on_rented(req, names, ctx_.now());
+        case cloud::CloudClient::RentOutcome::kNoCapacity:
+          return capacity_->on_refused(req, ctx_.now());
+        case cloud::CloudClient::RentOutcome::kUnanswered:
+          return capacity_->on_unanswered(ctx_.now());
       }
     });
   }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -35,7 +35,7 @@
     std::shared_ptr<net::PeerSender> link;
     std::deque<std::pair<std::uint64_t, Instant>> sent;  // heartbeats not yet echoed
     std::uint64_t last_sequence = 0;                     // of theirs, echoed back
-    Instant echoed{};  // what the peer last said, it said after this time
+    Instant echoed{};                                    // what the peer last said, it said after this time
     Revision told{UINT64_MAX};
     bool state_ok = false;
   };
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -16,8 +16,12 @@
 }  // namespace
 
 RolesDuty::RolesDuty(Context& ctx, Hooks hooks)
-    : ctx_(ctx), hooks_(std::move(hooks)), beat_(ctx.io, [this] { beat(); }), check_(ctx.io, [this] { on_view(); }) {
-  for (std::uint32_t p = 0; p < ctx.parting.parts(); ++p) parts_[PartId(p)].key = store::part_role_key(PartId(p));
+    : ctx_(ctx),
+      hooks_(std::move(hooks)),
+      beat_(ctx.io, [this] { beat(); }),
+      check_(ctx.io, [this] { on_view(); }) {
+  for (std::uint32_t p = 0; p < ctx.parting.parts(); ++p)
+    parts_[PartId(p)].key = store::part_role_key(PartId(p));
   leader_.key = store::leader_role_key();
 }
 
@@ -110,14 +114,16 @@
 void RolesDuty::check(RoleState& s, const store::Versioned<store::Role>& role, std::optional<PartId> part) {
   bool mine = role.exists() && role.value.node == ctx_.settings.node;
   if (s.held && (!mine || role.value.term > *s.held)) {
-    spdlog::info("{} is now held by {} under term {}", s.key, role.value.node.value(), role.value.term.value());
+    spdlog::info("{} is now held by {} under term {}", s.key, role.value.node.value(),
+                 role.value.term.value());
     lose(s, part);
   }
   if (s.claiming) return;
   auto now = ctx_.now();
   if (s.held) {
     // Another's home: it goes back once that node has been well for a while.
-    bool away = part && ctx_.parting.home(*part) != ctx_.settings.node && ctx_.view().alive(ctx_.parting.home(*part));
+    bool away =
+        part && ctx_.parting.home(*part) != ctx_.settings.node && ctx_.view().alive(ctx_.parting.home(*part));
     if (!away) {
       s.home_since.reset();
     } else if (!s.home_since) {
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -95,7 +95,8 @@
     return reply({503, wire::render_error("superseded"), 1});
   }
   // A stale report is answered as well: its worker is there, and commands may have overtaken it.
-  if (!part.machines().contains(report.machine)) return reply({503, wire::render_error("machine is gone"), 1});
+  if (!part.machines().contains(report.machine))
+    return reply({503, wire::render_error("machine is gone"), 1});
   reply({200, wire::render_report_answer(part.answer(report.machine, ctx_.now()))});
   kick();
 }
@@ -103,7 +104,8 @@
 void WorkersDuty::on_view(const store::View::Touched& t) {
   for (auto& [id, o] : parts_) {
     if (t.machines.contains(id)) load_registry(id, *o.part);
-    for (const auto& job : t.jobs) o.part->on_job(job, ctx_.view().job(job), ctx_.view().end(job), ctx_.now());
+    for (const auto& job : t.jobs)
+      o.part->on_job(job, ctx_.view().job(job), ctx_.view().end(job), ctx_.now());
   }
   if (!t.jobs.empty() || !t.machines.empty()) kick();
 }
@@ -172,28 +174,28 @@
     channel = {b.address, std::make_shared<net::HttpClient>(ctx_.io, *at, 1)};
   }
   auto body = wire::render_commands(b.token, b.session, b.commands);
-  channel.client->request("POST", "/do", std::move(body), kCommandTimeout,
-                          [this, id, term, b = std::move(b)](net::Result r) {
-                            auto* o = stopped_ ? nullptr : find(id, term);
-                            if (!o) return;
-                            auto result = part::Part::CommandResult::kNoAnswer;
-                            std::optional<wire::Report> report;
-                            if (r.status == 200 || r.status == 409) {
-                              try {
-                                report = wire::parse_report(wire::parse_object(r.body));
-                                result = r.status == 200 ? part::Part::CommandResult::kExecuted
-                                                         : part::Part::CommandResult::kRejected;
-                              } catch (const wire::WireError& e) {
-                                spdlog::error("{}: answer dropped: {}", b.machine.value(), e.what());
-                              }
-                            } else if (r.answered()) {
-                              spdlog::error("{}: commands were answered {}", b.machine.value(), r.status);
-                            } else {
-                              spdlog::debug("{}: commands had no answer", b.machine.value());
-                            }
-                            o->part->on_commands(b, result, report, ctx_.now());
-                            kick();
-                          });
+  channel.client->request(
+      "POST", "/do", std::move(body), kCommandTimeout, [this, id, term, b = std::move(b)](net::Result r) {
+        auto* o = stopped_ ? nullptr : find(id, term);
+        if (!o) return;
+        auto result = part::Part::CommandResult::kNoAnswer;
+        std::optional<wire::Report> report;
+        if (r.status == 200 || r.status == 409) {
+          try {
+            report = wire::parse_report(wire::parse_object(r.body));
+            result =
+                r.status == 200 ? part::Part::CommandResult::kExecuted : part::Part::CommandResult::kRejected;
+          } catch (const wire::WireError& e) {
+            spdlog::error("{}: answer dropped: {}", b.machine.value(), e.what());
+          }
+        } else if (r.answered()) {
+          spdlog::error("{}: commands were answered {}", b.machine.value(), r.status);
+        } else {
+          spdlog::debug("{}: commands had no answer", b.machine.value());
+        }
+        o->part->on_commands(b, result, report, ctx_.now());
+        kick();
+      });
 }
 
 void WorkersDuty::write_registry(PartId id, Owned& o) {
--- a/src/part/estimator.cpp
+++ b/src/part/estimator.cpp
@@ -15,7 +15,8 @@
   return out;
 }
 
-Resources open_to(const Resources& free, const Resources& total, const wire::Shape& s, const RoomRules& rules) {
+Resources open_to(const Resources& free, const Resources& total, const wire::Shape& s,
+                  const RoomRules& rules) {
   Resources r = free;
   if (s.priority <= Priority::kNormal) r.cpus -= total.cpus * rules.reserve;
   return r;
@@ -51,8 +52,8 @@
   return std::min(r1, r2);
 }
 
-wire::ShapeRoom estimate(const std::map<MachineName, Machine>& machines, const wire::Shape& s, const RoomRules& rules,
-                         Instant now) {
+wire::ShapeRoom estimate(const std::map<MachineName, Machine>& machines, const wire::Shape& s,
+                         const RoomRules& rules, Instant now) {
   std::map<Zone, wire::ZoneRoom> zones;
   for (const auto& [name, m] : machines) {
     if (!m.usable(now) || !allowed(s, m.type, m.zone, m.spot)) continue;
@@ -78,7 +79,8 @@
 }
 
 Machine* choose_machine(std::map<MachineName, Machine>& machines, const wire::Shape& s,
-                        const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job, Instant now) {
+                        const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job,
+                        Instant now) {
   Machine* best = nullptr;
   std::pair<bool, double> best_rank;
   for (auto& [name, m] : machines) {
--- a/src/part/estimator.h
+++ b/src/part/estimator.h
@@ -26,14 +26,15 @@
 std::uint32_t room_on(const Machine& m, const wire::Shape& s, const RoomRules& rules, bool preempt);
 
 // The part's answer, by zone.
-wire::ShapeRoom estimate(const std::map<MachineName, Machine>& machines, const wire::Shape& s, const RoomRules& rules,
-                         Instant now);
+wire::ShapeRoom estimate(const std::map<MachineName, Machine>& machines, const wire::Shape& s,
+                         const RoomRules& rules, Instant now);
 
 // The same from a summary, which knows free room only.
 wire::ShapeRoom estimate(const wire::Summary& summary, const wire::Shape& s, const RoomRules& rules);
 
 // Placement: of the machines that have room those that hold the image first, among them the fullest.
 Machine* choose_machine(std::map<MachineName, Machine>& machines, const wire::Shape& s,
-                        const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job, Instant now);
+                        const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job,
+                        Instant now);
 
 }  // namespace beaconsill::part
--- a/src/part/machine.cpp
+++ b/src/part/machine.cpp
@@ -9,8 +9,9 @@
   double sum = 0;
   for (const auto& [name, e] : images_) sum += e.gb;
   while (sum > capacity_gb_ && images_.size() > 1) {
-    auto oldest = std::min_element(images_.begin(), images_.end(),
-                                   [](const auto& a, const auto& b) { return a.second.used < b.second.used; });
+    auto oldest = std::min_element(images_.begin(), images_.end(), [](const auto& a, const auto& b) {
+      return a.second.used < b.second.used;
+    });
     sum -= oldest->second.gb;
     images_.erase(oldest);
   }
@@ -35,9 +36,8 @@
 }
 
 std::size_t Machine::live_tasks() const {
-  return static_cast<std::size_t>(std::count_if(tasks.begin(), tasks.end(), [](const auto& t) {
-    return t.second.state != wire::TaskState::kEnded;
-  }));
+  return static_cast<std::size_t>(std::count_if(
+      tasks.begin(), tasks.end(), [](const auto& t) { return t.second.state != wire::TaskState::kEnded; }));
 }
 
 }  // namespace beaconsill::part
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -11,7 +11,8 @@
 using wire::EndCause;
 using wire::TaskState;
 
-// Clocks drift apart by 0.05%; a lease is over for sure after this much more, and a margin for steps of timers.
+// Clocks drift apart by 0.05%; a lease is over for sure after this much more, and a margin for steps of
+// timers.
 constexpr double kDrift = 1.002;
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(500);
 constexpr Duration kProbeAgain = std::chrono::seconds(1);
@@ -21,8 +22,8 @@
 constexpr Duration kErrorMemory = std::chrono::seconds(60);
 constexpr Duration kStrayPatience = std::chrono::seconds(2);
 constexpr double kMaxBackoff = 30;
-constexpr std::size_t kSickJobs = 2;      // so many jobs fail on a machine: it is the machine
-constexpr std::size_t kBadMachines = 3;   // a job fails on so many machines: it is the job
+constexpr std::size_t kSickJobs = 2;       // so many jobs fail on a machine: it is the machine
+constexpr std::size_t kBadMachines = 3;    // a job fails on so many machines: it is the job
 constexpr std::size_t kMaxCommands = 128;  // in one batch
 
 bool live(const TaskOn& t) {
@@ -32,7 +33,11 @@
 }  // namespace
 
 Part::Part(PartId id, Term term, PartParams params, Instant now)
-    : id_(id), term_(term), params_(params), began_(now), next_attempt_((term.value() << Token::kFenceBits) + 1) {}
+    : id_(id),
+      term_(term),
+      params_(params),
+      began_(now),
+      next_attempt_((term.value() << Token::kFenceBits) + 1) {}
 
 void Part::set_catalogue(std::shared_ptr<const wire::Catalogue> c) {
   catalogue_ = std::move(c);
@@ -137,8 +142,9 @@
 bool Part::on_report(const wire::Report& r, Instant now) {
   if (gone_.contains(r.machine)) return false;
   if (r.token.term() > term_) {
-    if (!superseded_) spdlog::info("part {}: {} has seen term {}, ours is {}", id_.value(), r.machine.value(),
-                                   r.token.term().value(), term_.value());
+    if (!superseded_)
+      spdlog::info("part {}: {} has seen term {}, ours is {}", id_.value(), r.machine.value(),
+                   r.token.term().value(), term_.value());
     superseded_ = true;
     return false;
   }
@@ -214,8 +220,8 @@
     slot->status = Slot::Status::kPlaced;
     slot->machine = m.name;
     slot->attempt = key.second;
-  } else if (slot->status == Slot::Status::kPlaced && (slot->machine != m.name || slot->attempt != key.second) &&
-             !t.stop_grace) {
+  } else if (slot->status == Slot::Status::kPlaced &&
+             (slot->machine != m.name || slot->attempt != key.second) && !t.stop_grace) {
     spdlog::error("{}: task {} is here as well as on {}", m.name.value(), wire::task_name(key.first),
                   slot->machine.value());
     stop(t, 0);
@@ -251,8 +257,8 @@
   for (const auto& [key, t] : tasks) requeue(key, now);
 }
 
-// Evidence decides whom to blame: a machine on which many jobs fail is sick, a job that fails on many machines
-// is bad.
+// Evidence decides whom to blame: a machine on which many jobs fail is sick, a job that fails on many
+// machines is bad.
 void Part::failed(Machine& m, const JobId& id, Instant now) {
   std::erase_if(m.errors, [&](const auto& e) { return now - e.second > kErrorMemory; });
   m.errors[id] = now;
@@ -261,7 +267,8 @@
   job->failed_on[m.name] = now;
   if (job->failed_on.size() >= 2) {
     ++job->failures;
-    job->not_before = now + from_seconds(std::min(kMaxBackoff, std::pow(2.0, std::min(job->failures, 6) - 1)));
+    job->not_before =
+        now + from_seconds(std::min(kMaxBackoff, std::pow(2.0, std::min(job->failures, 6) - 1)));
   }
   auto blamed = static_cast<std::size_t>(std::count_if(m.errors.begin(), m.errors.end(), [&](const auto& e) {
     auto* j = find_job(e.first);
@@ -389,7 +396,8 @@
 
 bool Part::finished_with(const JobId& id) const {
   auto it = jobs_.find(id);
-  return it == jobs_.end() || std::all_of(it->second.slots.begin(), it->second.slots.end(), [](const auto& s) {
+  return it == jobs_.end() ||
+         std::all_of(it->second.slots.begin(), it->second.slots.end(), [](const auto& s) {
            return s.second.status == Slot::Status::kDone || s.second.status == Slot::Status::kReturned;
          });
 }
@@ -406,12 +414,14 @@
   give_back(now);
 }
 
-// Rule 4 of docs/design.md: the lease has run out since the last time that anybody entitled can have answered.
-// The worker has seen our term, so no earlier owner is obeyed; `word` shows that no successor existed.
+// Rule 4 of docs/design.md: the lease has run out since the last time that anybody entitled can have
+// answered. The worker has seen our term, so no earlier owner is obeyed; `word` shows that no successor
+// existed.
 void Part::check_leases(Instant now, Instant word) {
   for (auto& [name, m] : machines_) {
     if (!m.reported || m.tasks.empty()) continue;
-    auto over = std::max(m.answered, m.heard) + std::chrono::duration_cast<Duration>(params_.lease * kDrift) + kLeaseMargin;
+    auto over = std::max(m.answered, m.heard) + std::chrono::duration_cast<Duration>(params_.lease * kDrift) +
+                kLeaseMargin;
     if (now <= over || word <= over || superseded_) continue;
     spdlog::info("{}: silent beyond its lease, its {} tasks are gone", name.value(), m.tasks.size());
     lose_all(m, now);
@@ -454,7 +464,8 @@
       // Its grant may be on its way to us: judged only by what was read after the task was seen.
       if (word < t.since + kStrayPatience) continue;
       if (live(t)) {
-        if (!t.stop_grace) spdlog::info("{}: task {} isn't granted here, stopped", name.value(), wire::task_name(key.first));
+        if (!t.stop_grace)
+          spdlog::info("{}: task {} isn't granted here, stopped", name.value(), wire::task_name(key.first));
         stop(t, 0);
       } else {
         t.may_forget = true;
@@ -473,7 +484,8 @@
       waiting.emplace_back(id, &job);
   }
   auto due = [](const PartJob& j) {
-    return j.record.submitted.value() + static_cast<std::int64_t>(j.record.spec->deadline_s.value_or(3600) * 1000);
+    return j.record.submitted.value() +
+           static_cast<std::int64_t>(j.record.spec->deadline_s.value_or(3600) * 1000);
   };
   std::sort(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) {
     auto pa = a.second->record.spec->priority, pb = b.second->record.spec->priority;
@@ -537,7 +549,8 @@
   std::vector<TaskOn*> best_victims;
   double best_cost = 0;
   for (auto& [name, m] : machines_) {
-    if (!m.usable(now) || !allowed(shape, m.type, m.zone, m.spot) || (slot.zone && *slot.zone != m.zone)) continue;
+    if (!m.usable(now) || !allowed(shape, m.type, m.zone, m.spot) || (slot.zone && *slot.zone != m.zone))
+      continue;
     std::vector<TaskOn*> lower;
     Resources idle = m.total - m.used();
     for (auto& [key, t] : m.tasks) {
@@ -633,7 +646,8 @@
   return out;
 }
 
-void Part::on_commands(const Batch& b, CommandResult result, const std::optional<wire::Report>& report, Instant now) {
+void Part::on_commands(const Batch& b, CommandResult result, const std::optional<wire::Report>& report,
+                       Instant now) {
   auto it = machines_.find(b.machine);
   if (it == machines_.end()) return;
   auto& m = it->second;
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -61,7 +61,8 @@
   std::vector<Batch> take_batches(Instant now);
   enum class CommandResult { kExecuted, kRejected, kNoAnswer };
   // `report`: the body of the answer.
-  void on_commands(const Batch& b, CommandResult result, const std::optional<wire::Report>& report, Instant now);
+  void on_commands(const Batch& b, CommandResult result, const std::optional<wire::Report>& report,
+                   Instant now);
 
   // ---- State
   // Jobs whose progress is to be written, with the value to write.
--- a/src/store/budget.h
+++ b/src/store/budget.h
@@ -10,7 +10,8 @@
 class Budget {
  public:
   // `rate` a second, with bursts of `burst_s` seconds' worth.
-  Budget(double rate, double burst_s, Instant now) : rate_(rate), burst_s_(burst_s), level_(rate * burst_s), at_(now) {}
+  Budget(double rate, double burst_s, Instant now)
+      : rate_(rate), burst_s_(burst_s), level_(rate * burst_s), at_(now) {}
 
   void set_rate(double rate, Instant now);
   // Takes `n`, or nothing. An urgent caller may overdraw by one more burst.
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -79,19 +79,34 @@
 }
 
 void StoreClient::get(std::string target, Urgency u, std::function<void(ReadResult)> done) {
-  enqueue({"GET", std::move(target), "", 0, {}, kTimeout,
+  enqueue({"GET",
+           std::move(target),
+           "",
+           0,
+           {},
+           kTimeout,
            [done = std::move(done)](net::Result r) { done(to_read(r)); }},
           u);
 }
 
 void StoreClient::hold(std::uint32_t ttl_ms, std::function<void(ReadResult)> done) {
-  enqueue({"POST", "/holds", wire::render_hold(ttl_ms), 0, {}, kTimeout,
+  enqueue({"POST",
+           "/holds",
+           wire::render_hold(ttl_ms),
+           0,
+           {},
+           kTimeout,
            [done = std::move(done)](net::Result r) { done(to_read(r)); }},
           Urgency::kRole);
 }
 
 void StoreClient::renew(HoldId id, std::function<void(ReadResult)> done) {
-  enqueue({"POST", wire::hold_target(id) + "/renew", "{}", 0, {}, kTimeout,
+  enqueue({"POST",
+           wire::hold_target(id) + "/renew",
+           "{}",
+           0,
+           {},
+           kTimeout,
            [done = std::move(done)](net::Result r) { done(to_read(r)); }},
           Urgency::kRole);
 }
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -43,7 +43,8 @@
 
 class StoreClient : public std::enable_shared_from_this<StoreClient> {
  public:
-  StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits, double share);
+  StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
+              double share);
 
   void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done);
   void get(std::string target, Urgency u, std::function<void(ReadResult)> done);
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -9,7 +9,12 @@
 
 Mirror::Mirror(asio::io_context& io, const Clock& clock, std::shared_ptr<StoreClient> client, Duration period,
                std::function<void(const View::Touched&)> on_change)
-    : io_(io), clock_(clock), client_(std::move(client)), period_(period), on_change_(std::move(on_change)), timer_(io) {}
+    : io_(io),
+      clock_(clock),
+      client_(std::move(client)),
+      period_(period),
+      on_change_(std::move(on_change)),
+      timer_(io) {}
 
 void Mirror::start() {
   reading_ = true;
@@ -73,36 +78,38 @@
 void Mirror::read() {
   auto begun = clock_.now();
   std::swap(served_, waiting_);
-  client_->get(wire::watch_target(kPrefix, revision_, 0), Urgency::kUser, [weak = weak_from_this(), begun](ReadResult r) {
-    auto me = weak.lock();
-    if (!me || me->stopped_) return;
-    bool ok = false;
-    if (r.outcome == Outcome::kOk) {
-      try {
-        auto changes = wire::parse_changes(r.body);
-        for (const auto& c : changes.changes) me->view_.apply(c);
-        me->revision_ = std::max(me->revision_, changes.revision);
-        me->word_ = begun;
-        me->ready_ = ok = true;
-      } catch (const wire::WireError& e) {
-        spdlog::error("state service: changes dropped: {}", e.what());
-      }
-    } else if (r.status == 410) {
-      spdlog::info("state service: changes since {} are gone, loading anew", me->revision_.value());
-      me->loaded_ = me->ready_ = false;
-    }
-    if (ok) me->settle();
-    me->reading_ = false;
-    me->finish(ok);
-    if (me->stopped_ || me->reading_) return;
-    bool again = me->loaded_ && (!me->waiting_.empty() || (ok && me->nudged_ > me->revision_));
-    if (again && ok) {
-      me->reading_ = true;
-      me->read();
-    } else {
-      me->schedule(me->period_);
-    }
-  });
+  client_->get(wire::watch_target(kPrefix, revision_, 0), Urgency::kUser,
+               [weak = weak_from_this(), begun](ReadResult r) {
+                 auto me = weak.lock();
+                 if (!me || me->stopped_) return;
+                 bool ok = false;
+                 if (r.outcome == Outcome::kOk) {
+                   try {
+                     auto changes = wire::parse_changes(r.body);
+                     for (const auto& c : changes.changes) me->view_.apply(c);
+                     me->revision_ = std::max(me->revision_, changes.revision);
+                     me->word_ = begun;
+                     me->ready_ = ok = true;
+                   } catch (const wire::WireError& e) {
+                     spdlog::error("state service: changes dropped: {}", e.what());
+                   }
+                 } else if (r.status == 410) {
+                   spdlog::info("state service: changes since {} are gone, loading anew",
+                                me->revision_.value());
+                   me->loaded_ = me->ready_ = false;
+                 }
+                 if (ok) me->settle();
+                 me->reading_ = false;
+                 me->finish(ok);
+                 if (me->stopped_ || me->reading_) return;
+                 bool again = me->loaded_ && (!me->waiting_.empty() || (ok && me->nudged_ > me->revision_));
+                 if (again && ok) {
+                   me->reading_ = true;
+                   me->read();
+                 } else {
+                   me->schedule(me->period_);
+                 }
+               });
 }
 
 void Mirror::settle() {
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -26,18 +26,30 @@
 
 }  // namespace
 
-std::string job_key(const JobId& id) { return key("jobs", id.value()); }
-std::string end_key(const JobId& id) { return key("ends", id.value()); }
-std::string grants_key(const JobId& id) { return key("grants", id.value()); }
+std::string job_key(const JobId& id) {
+  return key("jobs", id.value());
+}
+std::string end_key(const JobId& id) {
+  return key("ends", id.value());
+}
+std::string grants_key(const JobId& id) {
+  return key("grants", id.value());
+}
 std::string progress_key(PartId part, const JobId& id) {
   return key("progress", std::to_string(part.value()) + '/' + id.value());
 }
 std::string machines_key(PartId part, std::uint32_t bucket) {
   return key("machines", std::to_string(part.value()) + '/' + std::to_string(bucket));
 }
-std::string part_role_key(PartId part) { return key("roles", "part/" + std::to_string(part.value())); }
-std::string leader_role_key() { return key("roles", "leader"); }
-std::string alive_key(const NodeName& node) { return key("alive", node.value()); }
+std::string part_role_key(PartId part) {
+  return key("roles", "part/" + std::to_string(part.value()));
+}
+std::string leader_role_key() {
+  return key("roles", "leader");
+}
+std::string alive_key(const NodeName& node) {
+  return key("alive", node.value());
+}
 
 std::uint32_t machine_bucket(const MachineName& name) {
   return static_cast<std::uint32_t>(stable_hash(name.value()) >> 32) % kMachineBuckets;
--- a/src/store/view.cpp
+++ b/src/store/view.cpp
@@ -154,7 +154,8 @@
     } else if (kind == "machines") {
       auto [part, bucket] = split(rest);
       auto p = number(part), b = number(bucket);
-      if (p && b && update(machines_[{PartId(*p), *b}], c, parse_machines)) touched_.machines.insert(PartId(*p));
+      if (p && b && update(machines_[{PartId(*p), *b}], c, parse_machines))
+        touched_.machines.insert(PartId(*p));
     }
   } catch (const wire::WireError& e) {
     spdlog::error("state service: value of {} not understood: {}", c.key, e.what());
--- a/src/store/view.h
+++ b/src/store/view.h
@@ -63,7 +63,8 @@
  private:
   void apply_job(const JobId& id, const wire::Change& c);
 
-  std::map<JobId, Job> jobs_;  // also those known only by a grant or progress, until their job comes: see job()
+  std::map<JobId, Job>
+      jobs_;  // also those known only by a grant or progress, until their job comes: see job()
   std::unordered_map<JobId, Versioned<Ending>> ends_;
   std::map<PartId, Versioned<Role>> parts_;
   Versioned<Role> leader_;
--- a/src/wire/api.cpp
+++ b/src/wire/api.cpp
@@ -17,9 +17,12 @@
 
 const char* kind_name(JobKind k) {
   switch (k) {
-    case JobKind::kArray: return "batch";
-    case JobKind::kGang: return "group";
-    case JobKind::kService: return "daemon";
+    case JobKind::kArray:
+      return "batch";
+    case JobKind::kGang:
+      return "group";
+    case JobKind::kService:
+      return "daemon";
   }
   return "batch";
 }
@@ -34,20 +37,28 @@
 
 const char* priority_name(Priority p) {
   switch (p) {
-    case Priority::kProduction: return "production";
-    case Priority::kHigh: return "high";
-    case Priority::kNormal: return "standard";
-    case Priority::kLow: return "best_effort";
+    case Priority::kProduction:
+      return "production";
+    case Priority::kHigh:
+      return "high";
+    case Priority::kNormal:
+      return "standard";
+    case Priority::kLow:
+      return "best_effort";
   }
   return "standard";
 }
 
 const char* state_name(JobState s) {
   switch (s) {
-    case JobState::kQueued: return "queued";
-    case JobState::kRunning: return "running";
-    case JobState::kDone: return "done";
-    case JobState::kCancelled: return "withdrawn";
+    case JobState::kQueued:
+      return "queued";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kDone:
+      return "done";
+    case JobState::kCancelled:
+      return "withdrawn";
   }
   return "queued";
 }
@@ -57,7 +68,8 @@
 bool valid_job_id(std::string_view id) {
   if (!id.starts_with(kIdPrefix) || id.size() > 32) return false;
   auto digits = id.substr(kIdPrefix.size());
-  return !digits.empty() && std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; });
+  return !digits.empty() &&
+         std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
 JobSpec parse_job(const Json& j) {
@@ -126,7 +138,8 @@
 }
 
 std::string render_status(const JobId& id, JobState state, std::uint32_t done, std::uint32_t running) {
-  return dump(Json{{"ref", id.value()}, {"bearing", state_name(state)}, {"done", done}, {"running", running}});
+  return dump(
+      Json{{"ref", id.value()}, {"bearing", state_name(state)}, {"done", done}, {"running", running}});
 }
 
 std::string render_error(std::string_view reason) {
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -71,7 +71,8 @@
       for (auto t : r.getTerms()) h.terms.push_back({PartId(t.getPart()), Term(t.getTerm())});
       return h;
     }
-    case peer::Message::NUDGE: return Nudge{Revision(m.getNudge().getRevision())};
+    case peer::Message::NUDGE:
+      return Nudge{Revision(m.getNudge().getRevision())};
     case peer::Message::ASK: {
       Ask a;
       a.round = m.getAsk().getRound();
@@ -93,13 +94,20 @@
       auto r = m.getSummary();
       Summary s{PartId(r.getPart()), Term(r.getTerm()), Revision(r.getSeenRevision()), {}, {}};
       for (auto e : r.getMachines())
-        s.machines.push_back({MachineName(text(e.getName())), MachineType(text(e.getType())), Zone(text(e.getZone())),
-                              e.getSpot(), {e.getCpus(), e.getGpus(), e.getMemoryGb()}, e.getIdleS(), e.getUsable()});
+        s.machines.push_back({MachineName(text(e.getName())),
+                              MachineType(text(e.getType())),
+                              Zone(text(e.getZone())),
+                              e.getSpot(),
+                              {e.getCpus(), e.getGpus(), e.getMemoryGb()},
+                              e.getIdleS(),
+                              e.getUsable()});
       for (auto c : r.getRunning()) s.running.push_back({JobId(text(c.getJob())), c.getRunning()});
       return s;
     }
-    case peer::Message::RELEASE: return Release{get_names(m.getRelease())};
-    case peer::Message::GONE: return Gone{get_names(m.getGone())};
+    case peer::Message::RELEASE:
+      return Release{get_names(m.getRelease())};
+    case peer::Message::GONE:
+      return Gone{get_names(m.getGone())};
   }
   KJ_FAIL_REQUIRE("unknown kind of message");
 }
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -55,6 +55,8 @@
 std::string render_hold(std::uint32_t ttl_ms);
 std::string page_target(std::string_view prefix, std::string_view after, std::uint32_t limit);
 std::string watch_target(std::string_view prefix, Revision after, std::uint32_t wait_ms);
-inline std::string hold_target(HoldId id) { return "/holds/" + std::to_string(id.value()); }
+inline std::string hold_target(HoldId id) {
+  return "/holds/" + std::to_string(id.value());
+}
 
 }  // namespace beaconsill::wire
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -64,12 +64,16 @@
   for (const auto& c : commands) {
     Json e{{"lamp", task_name(c.task)}, {"launch", c.attempt.value()}};
     switch (c.op) {
-      case Command::Op::kStart: e["signal"] = "run"; break;
+      case Command::Op::kStart:
+        e["signal"] = "run";
+        break;
       case Command::Op::kStop:
         e["signal"] = "kill";
         e["dousingS"] = c.grace_s;
         break;
-      case Command::Op::kForget: e["signal"] = "clear"; break;
+      case Command::Op::kForget:
+        e["signal"] = "clear";
+        break;
     }
     list.push_back(std::move(e));
   }
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -34,9 +34,7 @@
   std::vector<TaskReport> tasks;
 
   // Of two reports of a machine, the one with the larger (session, sequence) is the newer.
-  bool newer_than(Session s, Sequence q) const {
-    return session != s ? session > s : sequence > q;
-  }
+  bool newer_than(Session s, Sequence q) const { return session != s ? session > s : sequence > q; }
 };
 
 // Throws WireError.
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,167 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "config/expr.h"
+#include "config/policy.h"
+
+namespace beaconsill::config {
+namespace {
+
+// Complete settings; each case below changes one thing.
+std::string good() {
+  return R"(
+node = "n0"
+area = "east"
+bind = "127.0.0.1:1"
+internal_addr = "127.0.0.1:2"
+novel = { x = 1 }
+[[known]]
+node = "n1"
+area = "west"
+peer_addr = "127.0.0.1:3"
+[external]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[cluster]
+zones = ["east", "west"]
+[[cluster.teams]]
+name = "blue"
+cpus = 10
+cpus_max = 20.0
+[cluster.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 35.0
+gang_peer_s = 6.0
+cancel_s = 40.0
+[cluster.state]
+rps = 100.0
+write_rps = 30.0
+value_kb = 8.0
+txn_ops = 16
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[cluster.quota]
+cpu = 0.2
+mem_mb = 64.0
+max_connections = 500
+)";
+}
+
+TEST(Settings, GoodOnesAreReadAndUnknownFieldsIgnored) {
+  auto s = parse_settings(good(), "s.toml");
+  EXPECT_EQ(s.node, NodeName("n0"));
+  EXPECT_EQ(s.controllers(), 2u);
+  EXPECT_EQ(s.team(Team("blue"))->cpus_max, 20);
+  EXPECT_EQ(s.team(Team("red")), nullptr);
+}
+
+TEST(Settings, WrongOnesNameFileFieldAndReason) {
+  struct Case {
+    const char* from;
+    const char* to;
+    const char* field;
+  };
+  const Case cases[] = {
+      {"node = \"n0\"", "node = 7", "s.toml: node: must be a string"},
+      {"node = \"n0\"", "", "s.toml: node: is missing"},
+      {"node = \"n1\"", "node = \"n0\"", "known[0].node: is named twice"},
+      {"rps = 100.0", "rps = \"many\"", "cluster.state.rps: must be a number"},
+      {"rps = 100.0", "rps = -1.0", "cluster.state.rps"},
+      {"rps = 100.0", "rps = nan", "cluster.state.rps"},
+      {"txn_ops = 16", "txn_ops = 0", "cluster.state.txn_ops: must be a whole number"},
+      {"lease_s = 10.0", "lease_s = 0.5", "cluster.workers.lease_s: must be more than report_s"},
+      {"cpus = 10", "cpus = 30", "cluster.teams[0].cpus: is more than cpus_max"},
+      {"zones = [\"east\", \"west\"]", "zones = [1]", "cluster.zones"},
+      {"[external]", "[external", "s.toml: line"},
+  };
+  for (const auto& c : cases) {
+    auto text = good();
+    text.replace(text.find(c.from), std::string(c.from).size(), c.to);
+    try {
+      parse_settings(text, "s.toml");
+      ADD_FAILURE() << "accepted: " << c.to;
+    } catch (const ConfigError& e) {
+      EXPECT_NE(std::string(e.what()).find(c.field), std::string::npos) << e.what();
+    }
+  }
+  EXPECT_THROW(load_settings("/nowhere/at/all.toml"), ConfigError);
+}
+
+TEST(Expr, Values) {
+  ExprNames names{{"lease", {ExprType::kDuration, 10}}, {"n", {ExprType::kNumber, 3}}};
+  struct Case {
+    const char* text;
+    ExprType type;
+    double value;
+  };
+  const Case cases[] = {
+      {"1 + 2 * 3", ExprType::kNumber, 7},           {"(1 + 2) * 3", ExprType::kNumber, 9},
+      {"250ms + 1s", ExprType::kDuration, 1.25},     {"2m - 30s", ExprType::kDuration, 90},
+      {"lease / 4", ExprType::kDuration, 2.5},       {"lease / 2s", ExprType::kNumber, 5},
+      {"2 * lease", ExprType::kDuration, 20},        {"min(lease, 3s, 4s)", ExprType::kDuration, 3},
+      {"clamp(n, 5, 9)", ExprType::kNumber, 5},      {"n > 2 && !(n == 4) ? 1 : 0", ExprType::kNumber, 1},
+      {"lease >= 10s || false", ExprType::kBool, 1}, {"-n + 1", ExprType::kNumber, -2},
+      {"10 - 3 - 2", ExprType::kNumber, 5},
+  };
+  for (const auto& c : cases) {
+    auto v = evaluate(c.text, names);
+    EXPECT_EQ(v.type, c.type) << c.text;
+    EXPECT_DOUBLE_EQ(v.value, c.value) << c.text;
+  }
+}
+
+TEST(Expr, MistakesAreFoundBeforeEvaluation) {
+  ExprNames names{{"lease", {ExprType::kDuration, 10}}};
+  const char* const cases[] = {
+      "",         "1 +",       "1s + 2",        "lease * lease", "2 / lease", "!3",
+      "true + 1", "1 2",       "unknown",       "f(1)",          "min()",     "min(1, 2s)",
+      "clamp(1)", "3 parsecs", "1 ? 2 : 3",     "true ? 1 : 2s", "1 < 2s",    "(1",
+      "1 / 0",    "@",         "true ? 1 : 1s",
+  };
+  for (const char* c : cases) EXPECT_THROW(evaluate(c, names), ExprError) << c;
+  EXPECT_THROW(evaluate(std::string(5000, '('), names), ExprError);
+  EXPECT_THROW(evaluate(std::string(5000, '!') + "true", names), ExprError);
+}
+
+TEST(Policy, DefaultsAndOverrides) {
+  auto s = parse_settings(good(), "s.toml");
+  auto d = load_policy("", s);
+  EXPECT_EQ(d.task_cap, 64u);
+  auto p = parse_policy("# comment\ntask_cap = 8 * controllers # more\n\nreply_wait = report_period / 2\n",
+                        "p", s);
+  EXPECT_EQ(p.task_cap, 16u);
+  EXPECT_EQ(p.reply_wait, from_seconds(0.5));
+  EXPECT_EQ(p.idle_return, d.idle_return);
+}
+
+TEST(Policy, MistakesNameLineAndReason) {
+  auto s = parse_settings(good(), "s.toml");
+  struct Case {
+    const char* text;
+    const char* reason;
+  };
+  const Case cases[] = {
+      {"task_cap 7", "p:1: expected name = expression"},
+      {"\nno_such = 1", "p:2: unknown setting 'no_such'"},
+      {"task_cap = 2s", "p:1: task_cap: must be a number"},
+      {"task_cap = 0", "must lie between"},
+      {"task_cap = 1\ntask_cap = 2", "p:2: task_cap: is set twice"},
+      {"reserve = 2", "must lie between"},
+      {"grace = lease +", "p:1: grace: column"},
+  };
+  for (const auto& c : cases) {
+    try {
+      parse_policy(c.text, "p", s);
+      ADD_FAILURE() << "accepted: " << c.text;
+    } catch (const ConfigError& e) {
+      EXPECT_NE(std::string(e.what()).find(c.reason), std::string::npos) << e.what();
+    }
+  }
+}
+
+}  // namespace
+}  // namespace beaconsill::config
--- /dev/null
+++ b/tests/lead_test.cpp
@@ -0,0 +1,328 @@
+#include "lead/lead.h"
+
+#include <gtest/gtest.h>
+
+#include "lead/capacity.h"
+
+namespace beaconsill::lead {
+namespace {
+
+using store::End;
+
+Instant at(double s) {
+  return Instant{} + from_seconds(1000 + s);
+}
+
+TEST(Split, ByProportionsNeverMoreThanTheRoom) {
+  struct Case {
+    std::uint32_t tasks;
+    std::vector<std::uint32_t> rooms, shares;
+  };
+  const Case cases[] = {
+      {10, {10, 10}, {5, 5}},
+      {10, {30, 10}, {8, 2}},
+      {100, {3, 4}, {3, 4}},
+      {1, {5, 9, 9}, {0, 1, 0}},
+      {0, {5}, {0}},
+      {7, {0, 0}, {0, 0}},
+      {3, {1, 1, 1, 1}, {1, 1, 1, 0}},
+      {100000, {100000, 100000, 100000}, {33334, 33333, 33333}},
+      {5, {0, 7, 0}, {0, 5, 0}},
+  };
+  for (const auto& c : cases) {
+    std::vector<Room> rooms;
+    for (std::size_t i = 0; i < c.rooms.size(); ++i)
+      rooms.push_back({PartId(static_cast<std::uint32_t>(i)), std::nullopt, c.rooms[i]});
+    std::vector<std::uint32_t> got(c.rooms.size());
+    for (const auto& s : split(c.tasks, rooms)) got[s.part.value()] = s.tasks;
+    EXPECT_EQ(got, c.shares) << c.tasks;
+  }
+}
+
+config::TeamSettings team(const char* name, double cpus, double max = 0) {
+  return {Team(name), cpus, max, 0, 0};
+}
+
+TEST(Queue, PriorityThenGuaranteeThenShareThenDue) {
+  struct Case {
+    const char* what;
+    std::vector<QueuedJob> jobs;
+    std::map<Team, Resources> usage;
+    std::vector<const char*> order;
+  };
+  auto job = [](const char* id, const char* t, Priority p, std::int64_t due, double cpus) {
+    return QueuedJob{JobId(id), Team(t), p, due, {cpus, 0, 0}};
+  };
+  const Case cases[] = {
+      {"priority",
+       {job("a", "x", Priority::kNormal, 1, 1), job("b", "y", Priority::kHigh, 9, 1)},
+       {},
+       {"b", "a"}},
+      {"due within a team",
+       {job("a", "x", Priority::kNormal, 9, 1), job("b", "x", Priority::kNormal, 1, 1)},
+       {},
+       {"b", "a"}},
+      {"guarantee before borrowing",
+       {job("a", "x", Priority::kNormal, 1, 1), job("b", "y", Priority::kNormal, 9, 1)},
+       {{Team("x"), {10, 0, 0}}, {Team("y"), {9, 0, 0}}},
+       {"b", "a"}},
+      {"teams take turns by shares",
+       {job("a", "x", Priority::kNormal, 1, 4), job("b", "x", Priority::kNormal, 2, 4),
+        job("c", "y", Priority::kNormal, 3, 4), job("d", "y", Priority::kNormal, 4, 4)},
+       {},
+       {"a", "c", "b", "d"}},
+  };
+  for (const auto& c : cases) {
+    std::vector<JobId> want;
+    for (auto* id : c.order) want.emplace_back(id);
+    EXPECT_EQ(serve_order(c.jobs, {team("x", 10), team("y", 10)}, c.usage), want) << c.what;
+  }
+}
+
+// A leader whose parts answer what the test says.
+struct Bench {
+  explicit Bench(double cpus_max = 0)
+      : lead({std::chrono::seconds(2), std::chrono::seconds(1), {}, 2, 8}, {team("blue", 0, cpus_max)},
+             {{"finished", "night", 0.9, 60, 1}}) {}
+
+  store::Job& job(const char* id, std::uint32_t tasks, std::function<void(wire::JobSpec&)> change = {}) {
+    wire::JobSpec s;
+    s.id = JobId(id);
+    s.team = Team("blue");
+    s.tasks = tasks;
+    s.each = {1, 0, 1};
+    if (change) change(s);
+    auto& j = jobs[id];
+    j.record = {std::make_shared<const wire::JobSpec>(s), WallMs(0)};
+    j.created = Revision(1);
+    show(id, 0);
+    return j;
+  }
+  void show(const char* id, double t, std::optional<End> end = std::nullopt) {
+    lead.on_job(JobId(id), &jobs[id], end, at(t), WallMs(0));
+  }
+  // One round in which part p answers rooms[p] for every shape; parts without an entry stay silent.
+  std::vector<Lead::Grant> round(double t, std::map<std::uint32_t, wire::ShapeRoom> rooms,
+                                 bool wait = false) {
+    auto ask = lead.begin_round(at(t), {PartId(0), PartId(1)});
+    if (!ask) return {};
+    for (auto& [p, room] : rooms)
+      lead.on_answer(
+          {ask->round, PartId(p), Term(1), Revision(revision), std::vector(ask->shapes.size(), room)}, at(t));
+    auto g = lead.decide(at(wait ? t + 2.1 : t), {{PartId(0), Term(1)}, {PartId(1), Term(1)}});
+    return g.value_or(std::vector<Lead::Grant>{});
+  }
+  void record(const std::vector<Lead::Grant>& grants, double t) {
+    ++revision;
+    lead.on_granted(grants, Revision(revision), at(t));
+    for (auto& g : grants) {
+      auto& j = jobs[g.job.value()];
+      j.grants = {g.grants, Revision(revision)};
+      show(g.job.value().c_str(), t);
+    }
+  }
+  static std::map<std::uint32_t, std::uint32_t> by_part(const Lead::Grant& g) {
+    std::map<std::uint32_t, std::uint32_t> n;
+    for (auto& c : g.grants.chunks) n[c.part.value()] += c.tasks.count();
+    return n;
+  }
+
+  Lead lead;
+  std::map<std::string, store::Job> jobs;
+  std::uint64_t revision = 10;
+};
+
+wire::ShapeRoom room(std::uint32_t free, std::uint32_t warm = 0, std::uint32_t pre = 0,
+                     const char* zone = "a") {
+  return {{Zone(zone), free, warm, pre}};
+}
+
+TEST(Lead, SplitsByTheAnswers) {
+  Bench b;
+  b.job("run-1", 10);
+  auto g = b.round(1, {{0, room(15)}, {1, room(5)}});
+  ASSERT_EQ(g.size(), 1u);
+  EXPECT_EQ(Bench::by_part(g[0]), (std::map<std::uint32_t, std::uint32_t>{{0, 8}, {1, 2}}));
+}
+
+TEST(Lead, RoomWithTheImageGoesFirst) {
+  Bench b;
+  b.job("run-1", 2);
+  auto g = b.round(1, {{0, room(50, 0)}, {1, room(5, 3)}});
+  EXPECT_EQ(Bench::by_part(g.at(0)), (std::map<std::uint32_t, std::uint32_t>{{1, 2}}));
+}
+
+TEST(Lead, WaitsForASilentPartThenUsesItsSummary) {
+  Bench b;
+  b.job("run-1", 4);
+  b.lead.on_summary({PartId(1),
+                     Term(1),
+                     Revision(1),
+                     {{MachineName("m"), MachineType("t"), Zone("a"), false, {4, 0, 8}, 0, true}},
+                     {}},
+                    at(0));
+  EXPECT_TRUE(b.round(1, {{0, room(4)}}).empty());
+  auto g = b.lead.decide(at(3.1), {{PartId(0), Term(1)}, {PartId(1), Term(1)}});
+  ASSERT_TRUE(g && g->size() == 1);
+  EXPECT_EQ(Bench::by_part(g->at(0)), (std::map<std::uint32_t, std::uint32_t>{{0, 2}, {1, 2}}));
+}
+
+TEST(Lead, SubtractsWhatAPartHasNotSeenYet) {
+  Bench b;
+  b.job("run-1", 4);
+  auto g = b.round(1, {{0, room(4)}, {1, {}}});
+  b.record(g, 1);
+  auto seen_before = b.revision - 1;
+  b.job("run-2", 4);
+  b.revision = seen_before;  // the parts answer without knowing the first grant
+  EXPECT_TRUE(b.round(2, {{0, room(4)}, {1, {}}}).empty());
+  b.revision = seen_before + 1;
+  EXPECT_EQ(b.round(3, {{0, room(4)}, {1, {}}}).size(), 1u);
+}
+
+TEST(Lead, GrantsNeverExceedTheTeamsLimit) {
+  Bench b(6);
+  b.job("run-1", 10);
+  b.job("run-2", 10);
+  auto g = b.round(1, {{0, room(100)}, {1, room(100)}});
+  std::uint32_t n = 0;
+  for (auto& x : g)
+    for (auto& [p, k] : Bench::by_part(x)) n += k;
+  EXPECT_EQ(n, 6u);
+  b.record(g, 1);
+  EXPECT_TRUE(b.round(2, {{0, room(100)}, {1, room(100)}}).empty());
+  // A cancelled job still counts until its tasks are given back.
+  auto first = g[0].job.value();
+  b.show(first.c_str(), 3, End::kCancelled);
+  EXPECT_TRUE(b.round(4, {{0, room(100)}, {1, room(100)}}).empty());
+  EXPECT_TRUE(b.lead.drained().empty());
+  for (auto& c : b.jobs[first].grants.value.chunks)
+    b.jobs[first].progress[c.part].value.returned.push_back({c.generation, c.tasks});
+  b.show(first.c_str(), 5, End::kCancelled);
+  EXPECT_EQ(b.lead.drained().size(), 1u);
+  EXPECT_FALSE(b.round(6, {{0, room(100)}, {1, room(100)}}).empty());
+}
+
+TEST(Lead, ZonesOfTogetherAndScatter) {
+  wire::ShapeRoom two{{Zone("a"), 6, 0, 0}, {Zone("b"), 3, 0, 0}};
+  {
+    Bench b;
+    b.job("run-1", 9, [](auto& s) { s.one_zone = true; });
+    auto g = b.round(1, {{0, two}, {1, {{Zone("b"), 4, 0, 0}}}});
+    std::set<std::string> zones;
+    for (auto& c : g.at(0).grants.chunks) zones.insert(c.zone.value().value());
+    EXPECT_EQ(zones, std::set<std::string>{"b"});  // 3 + 4 beats 6
+    b.record(g, 1);
+    // Its other tasks are bound to that zone.
+    EXPECT_TRUE(b.round(3, {{0, {{Zone("a"), 50, 0, 0}}}, {1, {}}}).empty());
+  }
+  {
+    Bench b;
+    b.job("run-1", 5, [](auto& s) { s.spread = true; });
+    auto g = b.round(1, {{0, {{Zone("a"), 50, 0, 0}}}, {1, {{Zone("b"), 1, 0, 0}}}});
+    EXPECT_EQ(Bench::by_part(g.at(0)), (std::map<std::uint32_t, std::uint32_t>{{0, 3}, {1, 1}}));
+    b.record(g, 1);
+    EXPECT_TRUE(b.round(3, {{0, {{Zone("a"), 50, 0, 0}}}, {1, {}}}).empty());
+  }
+}
+
+TEST(Lead, HigherPriorityMayTakeRoomByForce) {
+  Bench b;
+  b.job("run-1", 2, [](auto& s) { s.priority = Priority::kHigh; });
+  auto g = b.round(1, {{0, room(1, 0, 5)}, {1, {}}});
+  ASSERT_EQ(g.size(), 1u);
+  ASSERT_EQ(g[0].grants.chunks.size(), 2u);
+  EXPECT_FALSE(g[0].grants.chunks[0].preempt);
+  EXPECT_TRUE(g[0].grants.chunks[1].preempt);
+}
+
+TEST(Lead, AJobIsFinishedWhenAllItsTasksAreDone) {
+  Bench b;
+  auto& j = b.job("run-1", 4);
+  b.job("run-2", 1, [](auto& s) { s.kind = JobKind::kService; });
+  auto g = b.round(1, {{0, room(2)}, {1, room(2)}});
+  b.record(g, 1);
+  j.progress[PartId(0)].value.done = Ranges::span(0, 3);
+  b.show("run-1", 2);
+  EXPECT_TRUE(b.lead.finished().empty());
+  j.progress[PartId(1)].value.done = Ranges::span(3, 4);
+  b.show("run-1", 3);
+  EXPECT_EQ(b.lead.finished(), std::vector{JobId("run-1")});
+}
+
+TEST(Lead, ReturnedTasksAreGrantedAgainUnderANewGeneration) {
+  Bench b;
+  auto& j = b.job("run-1", 4);
+  b.record(b.round(1, {{0, room(4)}, {1, {}}}), 1);
+  j.progress[PartId(0)].value.returned = {{Generation(1), Ranges::span(2, 4)}};
+  b.show("run-1", 2);
+  auto g = b.round(3, {{0, {}}, {1, room(9)}});
+  ASSERT_EQ(g.size(), 1u);
+  ASSERT_EQ(g[0].grants.chunks.size(), 2u);
+  EXPECT_EQ(g[0].grants.chunks[0].tasks.str(), "0-1");
+  EXPECT_EQ(g[0].grants.chunks[1].tasks.str(), "2-3");
+  EXPECT_EQ(g[0].grants.chunks[1].generation, Generation(2));
+}
+
+std::shared_ptr<const wire::Catalogue> catalogue() {
+  auto c = std::make_shared<wire::Catalogue>();
+  (*c)[MachineType("big")] = {MachineType("big"), {32, 0, 64}, 10, 0.1, 4, 1, 30, {Zone("a")}};
+  (*c)[MachineType("small")] = {MachineType("small"),  {4, 0, 16}, 10, 0.1, 0.4, 0.2, 20,
+                                {Zone("a"), Zone("b")}};
+  return c;
+}
+
+std::vector<Demand> demand(std::uint32_t tasks, bool spot = false) {
+  wire::Shape s;
+  s.each = {1, 0, 1};
+  s.spot = spot;
+  s.wanted = tasks;
+  return {{s, std::chrono::seconds(5)}};
+}
+
+TEST(Capacity, RentsWhatIsMissingOnceAndUnderAnEverNewName) {
+  Capacity c({std::chrono::seconds(60), std::chrono::seconds(3), 64}, "t7-");
+  c.set_catalogue(catalogue());
+  auto r = c.rent(demand(10), at(0));
+  ASSERT_TRUE(r);
+  EXPECT_EQ(r->type, MachineType("small"));
+  EXPECT_EQ(r->count, 3u);
+  EXPECT_FALSE(c.rent(demand(10), at(0.1)));  // one at a time
+  // Without an answer the very same request is repeated: its name makes that safe.
+  c.on_unanswered(at(1));
+  auto again = c.rent(demand(10), at(2.5));
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->request, r->request);
+  c.on_rented(*again, {MachineName("h1"), MachineName("h2"), MachineName("h3")}, at(3));
+  EXPECT_FALSE(c.rent(demand(10), at(4)));  // what is coming is enough
+  auto more = c.rent(demand(14), at(5));
+  ASSERT_TRUE(more);
+  EXPECT_NE(more->request, r->request);
+}
+
+TEST(Capacity, RefusedKindsAreLeftAloneForAWhile) {
+  Capacity c({std::chrono::seconds(60), std::chrono::seconds(3), 64}, "t7-");
+  c.set_catalogue(catalogue());
+  auto r = c.rent(demand(4), at(0));
+  c.on_refused(*r, at(0));
+  auto second = c.rent(demand(4), at(1));
+  ASSERT_TRUE(second);
+  EXPECT_NE(std::tie(second->type, second->zone), std::tie(r->type, r->zone));
+}
+
+TEST(Capacity, MachinesThatNeverBootOrFailedAreDeletedOnce) {
+  Capacity c({std::chrono::seconds(60), std::chrono::seconds(3), 64}, "t7-");
+  c.set_catalogue(catalogue());
+  using S = wire::MachineState;
+  auto listed = [](const char* n, S s, double age) {
+    return wire::ListedMachine{MachineName(n), "", MachineType("small"), Zone("a"), false, s, age};
+  };
+  c.on_list({listed("slow", S::kBooting, 60), listed("never", S::kBooting, 500),
+             listed("failed", S::kFailed, 9), listed("up", S::kRunning, 900)},
+            at(0));
+  EXPECT_EQ(c.dead(at(0)), (std::vector{MachineName("failed"), MachineName("never")}));
+  EXPECT_TRUE(c.dead(at(1)).empty());
+}
+
+}  // namespace
+}  // namespace beaconsill::lead
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,229 @@
+// HTTP and peer links over loopback on ephemeral ports.
+#include <gtest/gtest.h>
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <thread>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/peer_link.h"
+
+namespace beaconsill::net {
+namespace {
+
+Tcp::endpoint any_port() {
+  return {asio::ip::make_address("127.0.0.1"), 0};
+}
+
+// Runs the loop until `done` or for ten seconds.
+void run_until(asio::io_context& io, const std::function<bool()>& done) {
+  auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!done() && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(100));
+  ASSERT_TRUE(done());
+}
+
+struct Echo {
+  explicit Echo(ServerLimits limits = {}) {
+    server = std::make_shared<HttpServer>(
+        io, any_port(), limits, [](const Request& r) { return r.path == "/user"; },
+        [this](Request r, HttpServer::Reply reply) {
+          ++handled;
+          reply({200, r.method + " " + r.path + "?" + r.query + " " + r.body, std::nullopt, false});
+        });
+    server->start();
+  }
+  ~Echo() {
+    server->stop();
+    io.poll();
+  }
+  // Sends raw bytes, returns what comes back until `count` responses or the connection's end.
+  std::string raw(const std::string& bytes, bool shut = false) {
+    Tcp::socket s(io);
+    s.connect(server->local());
+    std::string got;
+    bool over = false;
+    std::array<char, 4096> buffer;
+    std::function<void()> read = [&] {
+      s.async_read_some(asio::buffer(buffer), [&](std::error_code ec, std::size_t n) {
+        if (ec) {
+          over = true;
+          return;
+        }
+        got.append(buffer.data(), n);
+        read();
+      });
+    };
+    read();
+    asio::write(s, asio::buffer(bytes));
+    if (shut) s.shutdown(Tcp::socket::shutdown_send);
+    run_until(io, [&] { return over; });
+    return got;
+  }
+  asio::io_context io;
+  std::shared_ptr<HttpServer> server;
+  int handled = 0;
+};
+
+std::size_t count(const std::string& s, const std::string& what) {
+  std::size_t n = 0;
+  for (auto at = s.find(what); at != std::string::npos; at = s.find(what, at + 1)) ++n;
+  return n;
+}
+
+TEST(HttpServer, RequestsGoodAndBad) {
+  struct Case {
+    const char* what;
+    std::string bytes;
+    std::size_t good, bad;
+  };
+  const std::string get = "GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n";
+  const std::string last = "GET /z HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  const Case cases[] = {
+      {"one after the other", get + last, 2, 0},
+      {"many at once are answered in order", get + get + get + last, 4, 0},
+      {"body", "POST /p HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyz" + last, 2, 0},
+      {"chunked body", "POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n" + last,
+       2, 0},
+      {"not HTTP", "hello\r\n\r\n", 0, 1},
+      {"bad length", "POST /p HTTP/1.1\r\nContent-Length: x\r\n\r\n", 0, 1},
+      {"two lengths", "POST /p HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 0, 1},
+      {"body too long", "POST /p HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x'), 0, 1},
+      {"header too long", "GET / HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n", 0, 1},
+      {"target too long", "GET /" + std::string(20000, 'x') + " HTTP/1.1\r\n\r\n", 0, 1},
+      {"good, then bad", get + "\x01\x02\r\n\r\n", 1, 1},
+  };
+  for (const auto& c : cases) {
+    Echo e;
+    auto got = e.raw(c.bytes);
+    EXPECT_EQ(count(got, "HTTP/1.1 200"), c.good) << c.what << "\n" << got;
+    EXPECT_EQ(count(got, "HTTP/1.1 4"), c.bad) << c.what << "\n" << got;
+  }
+}
+
+TEST(HttpServer, TruncatedRequestsAreDropped) {
+  for (const char* bytes : {"", "GET / HT", "POST /p HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc"}) {
+    Echo e;
+    auto got = e.raw(bytes, true);
+    EXPECT_EQ(count(got, "HTTP/1.1 200"), 0u) << bytes;
+    EXPECT_EQ(e.handled, 0) << bytes;
+    EXPECT_EQ(e.server->connections(), 0u) << bytes;
+  }
+}
+
+TEST(HttpServer, UsersBeyondTheirCapAreToldToComeBack) {
+  ServerLimits limits;
+  limits.max_user_connections = 1;
+  Echo e(limits);
+  auto client = [&] { return std::make_shared<HttpClient>(e.io, e.server->local(), 1); };
+  auto a = client(), b = client(), w = client();
+  std::vector<int> statuses;
+  std::optional<int> retry;
+  auto ask = [&](auto& c, const char* path) {
+    bool got = false;
+    c->request("GET", path, "", std::chrono::seconds(5), [&](Result r) {
+      statuses.push_back(r.status);
+      if (r.status == 503) retry = r.retry_after_s;
+      got = true;
+    });
+    run_until(e.io, [&] { return got; });
+  };
+  ask(a, "/user");
+  ask(b, "/user");
+  ask(w, "/worker");
+  ask(a, "/user");
+  EXPECT_EQ(statuses, (std::vector{200, 503, 200, 200}));
+  EXPECT_EQ(retry, 1);
+  for (auto& c : {a, b, w}) c->stop();
+}
+
+TEST(HttpServer, TheLongestIdleMakesRoom) {
+  ServerLimits limits;
+  limits.max_connections = 2;
+  Echo e(limits);
+  std::vector<std::shared_ptr<HttpClient>> clients;
+  for (int i = 0; i < 4; ++i) {
+    clients.push_back(std::make_shared<HttpClient>(e.io, e.server->local(), 1));
+    int status = 0;
+    clients.back()->request("GET", "/w", "", std::chrono::seconds(5), [&](Result r) { status = r.status; });
+    run_until(e.io, [&] { return status != 0; });
+    EXPECT_EQ(status, 200);
+    EXPECT_LE(e.server->connections(), 2u);
+  }
+  for (auto& c : clients) c->stop();
+}
+
+TEST(HttpClient, TellsWhatMayHaveBeenExecuted) {
+  asio::io_context io;
+  // Nobody listens: not sent.
+  Tcp::acceptor closed(io, any_port());
+  auto nobody = closed.local_endpoint();
+  closed.close();
+  // Accepts and never answers: sent, no answer.
+  Tcp::acceptor mute(io, any_port());
+  std::vector<Tcp::socket> held;
+  mute.async_accept([&](std::error_code, Tcp::socket s) { held.push_back(std::move(s)); });
+  struct Case {
+    Tcp::endpoint to;
+    bool sent;
+  };
+  for (const auto& c : {Case{nobody, false}, Case{mute.local_endpoint(), true}}) {
+    auto client = std::make_shared<HttpClient>(io, c.to, 1);
+    std::optional<Result> result;
+    client->request("POST", "/x", "{}", std::chrono::milliseconds(200), [&](Result r) { result = r; });
+    run_until(io, [&] { return result.has_value(); });
+    EXPECT_FALSE(result->answered());
+    EXPECT_EQ(result->sent, c.sent);
+    client->stop();
+  }
+}
+
+TEST(HttpClient, QueuedRequestsExpireOnTheirOwn) {
+  asio::io_context io;
+  Tcp::acceptor mute(io, any_port());
+  auto client = std::make_shared<HttpClient>(io, mute.local_endpoint(), 1);
+  int over = 0;
+  for (int i = 0; i < 3; ++i)
+    client->request("GET", "/x", "", std::chrono::milliseconds(100 + 100 * i), [&](Result r) {
+      EXPECT_FALSE(r.answered());
+      ++over;
+    });
+  run_until(io, [&] { return over == 3; });
+  client->stop();
+}
+
+TEST(PeerLink, DeliversInOrderAndSurvivesGarbage) {
+  asio::io_context io;
+  std::vector<std::string> got;
+  auto receiver =
+      std::make_shared<PeerReceiver>(io, any_port(), 4, [&](std::string_view m) { got.emplace_back(m); });
+  receiver->start();
+  auto sender = std::make_shared<PeerSender>(io, receiver->local());
+  sender->start();
+  run_until(io, [&] { return sender->connected(); });
+  for (int i = 0; i < 50; ++i) sender->send(std::string(static_cast<std::size_t>(i * 100), 'x'));
+  run_until(io, [&] { return got.size() == 50; });
+  EXPECT_EQ(got[49].size(), 4900u);
+  // A frame of an absurd length closes that connection only.
+  Tcp::socket bad(io);
+  bad.connect(receiver->local());
+  asio::write(bad, asio::buffer(std::string("\xff\xff\xff\xff")));
+  bool closed = false;
+  char c;
+  bad.async_read_some(asio::buffer(&c, 1), [&](std::error_code ec, std::size_t) { closed = bool(ec); });
+  run_until(io, [&] { return closed; });
+  sender->send("still here");
+  run_until(io, [&] { return got.size() == 51; });
+  sender->stop();
+  receiver->stop();
+  io.poll();
+}
+
+TEST(Endpoint, Forms) {
+  for (const char* good : {"10.0.0.1:8080", "127.0.0.1:1"}) EXPECT_TRUE(parse_endpoint(good)) << good;
+  for (const char* bad : {"", "10.0.0.1", "host:80", "10.0.0.1:", "10.0.0.1:99999", "10.0.0.1:8x"})
+    EXPECT_FALSE(parse_endpoint(bad)) << bad;
+}
+
+}  // namespace
+}  // namespace beaconsill::net
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,222 @@
+// End to end on loopback: real nodes against this repository's stand-ins.
+#include "node/node.h"
+
+#include <gtest/gtest.h>
+
+#include "base/log.h"
+#include "standins.h"
+
+namespace beaconsill {
+namespace {
+
+using standin::Json;
+
+struct Answer {
+  int status = 0;
+  Json body;
+};
+
+// Two controllers in two zones, a worker in each.
+struct World {
+  World() : state(io), cloud(io) {
+    spdlog::set_level(spdlog::level::err);
+    // Ports that are free now; the nodes bind them a moment later.
+    for (int i = 0; i < 4; ++i) {
+      net::Tcp::acceptor a(io, standin::any_port());
+      ports.push_back(a.local_endpoint());
+    }
+    nodes.resize(2);
+    for (std::size_t i = 0; i < 2; ++i) start(i);
+    for (std::size_t i = 0; i < 2; ++i)
+      workers.push_back(std::make_unique<standin::Worker>(
+          io, "host-" + std::to_string(i), i ? "west" : "east", std::vector{ports[0], ports[2]},
+          std::vector<std::string>{"n0", "n1"}));
+  }
+  ~World() {
+    for (auto& w : workers) w->stop();
+    for (auto& n : nodes)
+      if (n) n->stop();
+    state.server->stop();
+    cloud.server->stop();
+    io.poll();
+  }
+  void start(std::size_t i) {
+    config::Settings s;
+    s.node = NodeName("n" + std::to_string(i));
+    s.zone = Zone(i ? "west" : "east");
+    s.listen = standin::text(ports[2 * i]);
+    s.peer_listen = standin::text(ports[2 * i + 1]);
+    s.peers = {{NodeName("n" + std::to_string(1 - i)), Zone(i ? "east" : "west"),
+                standin::text(ports[2 * (1 - i) + 1])}};
+    s.cloud = standin::text(cloud.server->local());
+    s.state = standin::text(state.server->local());
+    s.zones = {Zone("east"), Zone("west")};
+    s.teams = {{Team("blue"), 0, 0, 0, 0}};
+    s.report_s = 0.2;
+    s.lease_s = 5;
+    s.cancel_s = 20;
+    s.state_rps = 1000;
+    s.state_write_rps = 500;
+    s.value_kb = 8;
+    s.txn_ops = 16;
+    s.cloud_rps = 50;
+    s.list_lag_s = 1;
+    s.cpu_share = 1;
+    s.memory_mb = 64;
+    s.max_connections = 200;
+    auto policy = config::load_policy("", s);
+    nodes[i] = std::make_unique<node::Node>(io, clock, s, policy);
+    nodes[i]->start();
+  }
+  void run_until(const std::function<bool()>& done, const char* what) {
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+    while (!done() && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(20));
+    ASSERT_TRUE(done()) << what;
+  }
+  Answer call(std::size_t node, const char* method, const std::string& path, const std::string& body = "") {
+    auto client = std::make_shared<net::HttpClient>(io, ports[2 * node], 1);
+    Answer a;
+    bool over = false;
+    client->request(method, path, body, std::chrono::seconds(5), [&](net::Result r) {
+      a.status = r.status;
+      a.body = Json::parse(r.body, nullptr, false);
+      over = true;
+    });
+    run_until([&] { return over; }, path.c_str());
+    client->stop();
+    return a;
+  }
+  void healthy() {
+    for (std::size_t i = 0; i < 2; ++i)
+      for (int n = 0; n < 500 && call(i, "GET", "/up").status != 200; ++n)
+        io.run_for(std::chrono::milliseconds(10));
+  }
+  static std::string job(const std::string& id, const char* kind, int tasks) {
+    return Json{{"ref", id},        {"berth", "c"},         {"crew", "blue"},
+                {"shape", kind},    {"precedence", "high"}, {"lamps", tasks},
+                {"vcpus", 1.0},     {"cards", 0.0},         {"memoryGb", 1.0},
+                {"cargo", "img"},   {"sizeGb", 0.5},        {"together", false},
+                {"scatter", false}, {"driftwood", false},   {"reckonS", 1.0},
+                {"markS", 0.0},     {"stowS", 0.0}}
+        .dump();
+  }
+  std::string bearing(std::size_t node, const std::string& id) {
+    auto a = call(node, "GET", "/v1/jobs/" + id);
+    return a.status == 200 ? a.body["bearing"].get<std::string>() : "";
+  }
+
+  asio::io_context io;
+  SystemClock clock;
+  standin::State state;
+  standin::Cloud cloud;
+  std::vector<net::Tcp::endpoint> ports;
+  std::vector<std::unique_ptr<node::Node>> nodes;
+  std::vector<std::unique_ptr<standin::Worker>> workers;
+};
+
+TEST(EndToEnd, RunsAnArrayOverBothPartsAndKeepsItsEnd) {
+  World w;
+  w.healthy();
+  auto a = w.call(0, "POST", "/v1/jobs", World::job("run-000001", "batch", 14));
+  EXPECT_EQ(a.status, 201);
+  EXPECT_EQ(a.body["bearing"], "queued");
+  // Known at once at the other node as well.
+  EXPECT_EQ(w.call(1, "GET", "/v1/jobs/run-000001").status, 200);
+  w.run_until([&] { return w.bearing(1, "run-000001") == "done"; }, "the array is done");
+  EXPECT_EQ(w.workers[0]->started + w.workers[1]->started, 14);
+  EXPECT_GT(w.workers[0]->started, 0);
+  EXPECT_GT(w.workers[1]->started, 0);
+  // Done it stays, also after what else is known of it was dropped.
+  w.run_until([&] { return !w.state.keys.contains("beaconsill/jobs/run-000001"); }, "tidied");
+  for (std::size_t i = 0; i < 2; ++i) {
+    EXPECT_EQ(w.bearing(i, "run-000001"), "done");
+    EXPECT_EQ(w.call(i, "POST", "/v1/jobs", World::job("run-000001", "batch", 14)).status, 200);
+    EXPECT_EQ(w.call(i, "POST", "/v1/jobs/run-000001/withdraw").body["bearing"], "done");
+  }
+}
+
+TEST(EndToEnd, ServicesRunUntilTheyAreCancelled) {
+  World w;
+  w.healthy();
+  for (auto& x : w.workers) x->services.insert("run-7");
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-7", "daemon", 3)).status, 201);
+  auto running = [&] {
+    std::size_t n = 0;
+    for (auto& x : w.workers)
+      for (auto& t : x->tasks) n += t.state == "running";
+    return n;
+  };
+  w.run_until([&] { return running() == 3; }, "three replicas run");
+  auto a = w.call(1, "POST", "/v1/jobs/run-7/withdraw");
+  EXPECT_EQ(a.status, 200);
+  EXPECT_EQ(a.body["bearing"], "withdrawn");
+  EXPECT_EQ(w.bearing(0, "run-7"), "withdrawn");
+  w.run_until([&] { return running() == 0; }, "no replica runs");
+}
+
+TEST(EndToEnd, AnswersOfTheProtocol) {
+  World w;
+  w.healthy();
+  struct Case {
+    const char* method;
+    std::string path, body;
+    int status;
+  };
+  auto broken = World::job("run-5", "batch", 1);
+  broken.replace(broken.find("\"lamps\":1"), 9, "\"lamps\":-1");
+  auto stranger = World::job("run-5", "batch", 1);
+  stranger.replace(stranger.find("\"blue\""), 6, "\"grey\"");
+  auto huge = World::job("run-5", "batch", 1);
+  huge.replace(huge.find("\"vcpus\":1.0"), 11, "\"vcpus\":5.0");
+  const Case cases[] = {
+      {"POST", "/v1/jobs", "", 400},         {"POST", "/v1/jobs", "[1]", 400},
+      {"POST", "/v1/jobs", broken, 400},     {"POST", "/v1/jobs", stranger, 422},
+      {"POST", "/v1/jobs", huge, 422},       {"POST", "/v1/jobs", std::string(70000, '{'), 413},
+      {"GET", "/v1/jobs", "", 405},          {"GET", "/v1/jobs/run-999", "", 404},
+      {"GET", "/v1/jobs/nonsense", "", 404}, {"POST", "/v1/jobs/run-999/withdraw", "", 404},
+      {"GET", "/elsewhere", "", 404},        {"POST", "/hello", "{}", 400},
+  };
+  for (const auto& c : cases)
+    EXPECT_EQ(w.call(0, c.method, c.path, c.body).status, c.status) << c.method << ' ' << c.path;
+}
+
+TEST(EndToEnd, AnUnreadableStateServiceIsNever404) {
+  World w;
+  w.healthy();
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-1", "batch", 1)).status, 201);
+  w.run_until([&] { return w.bearing(0, "run-1") == "done"; }, "done");
+  w.state.down = true;
+  EXPECT_EQ(w.call(0, "GET", "/v1/jobs/run-2").status, 503);
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-3", "batch", 1)).status, 503);
+  EXPECT_EQ(w.call(0, "GET", "/v1/jobs/run-1").status, 200);  // final states need no reading
+  w.state.down = false;
+}
+
+TEST(EndToEnd, ASuccessorTakesOverWithoutRestartingWhatRuns) {
+  World w;
+  w.healthy();
+  for (auto& x : w.workers) x->services.insert("run-7");
+  w.call(0, "POST", "/v1/jobs", World::job("run-7", "daemon", 8));
+  auto started = [&] { return w.workers[0]->started + w.workers[1]->started; };
+  w.run_until([&] { return started() == 8; }, "eight replicas run");
+  w.run_until([&] { return w.state.hold_of("beaconsill/alive/n0").has_value(); }, "n0 is alive");
+  w.nodes[0]->stop();
+  w.nodes[0].reset();
+  w.state.expire(*w.state.hold_of("beaconsill/alive/n0"));
+  w.run_until(
+      [&] {
+        auto it = w.state.keys.find("beaconsill/roles/part/0");
+        return it != w.state.keys.end() && it->second.first["node"] == "n1" &&
+               (w.workers[0]->token >> 20) >= 2;
+      },
+      "n1 owns the part and its worker has seen the new term");
+  EXPECT_EQ(w.call(1, "POST", "/v1/jobs", World::job("run-8", "batch", 1)).status, 201);
+  EXPECT_EQ(started(), 8);
+  EXPECT_EQ(w.call(1, "POST", "/v1/jobs/run-7/withdraw").status, 200);
+  w.run_until([&] { return w.workers[0]->tasks.empty() || w.workers[0]->tasks[0].id != "run-7/0"; },
+              "stopped");
+  w.run_until([&] { return w.bearing(1, "run-8") == "done"; }, "the new job runs");
+}
+
+}  // namespace
+}  // namespace beaconsill
--- /dev/null
+++ b/tests/part_test.cpp
@@ -0,0 +1,623 @@
+// The owner's state machine, driven by reports, grants and times; no sockets.
+#include "part/part.h"
+
+#include <gtest/gtest.h>
+
+#include "part/parting.h"
+
+namespace beaconsill::part {
+namespace {
+
+using store::End;
+using wire::EndCause;
+using wire::TaskState;
+
+Instant at(double s) {
+  return Instant{} + from_seconds(1000 + s);
+}
+
+constexpr Duration kReport = std::chrono::seconds(1);
+
+PartParams params() {
+  PartParams p;
+  p.report_period = kReport;
+  p.lease = std::chrono::seconds(10);
+  p.cancel_limit = std::chrono::seconds(40);
+  p.grace = std::chrono::seconds(5);
+  return p;
+}
+
+std::shared_ptr<const wire::Catalogue> catalogue() {
+  auto c = std::make_shared<wire::Catalogue>();
+  (*c)[MachineType("t4")] = {MachineType("t4"), {4, 0, 16}, 10, 0.1, 1, 0.5, 20, {Zone("a"), Zone("b")}};
+  return c;
+}
+
+std::shared_ptr<const wire::JobSpec> spec(const char* id, std::uint32_t tasks,
+                                          Priority p = Priority::kNormal) {
+  wire::JobSpec s;
+  s.id = JobId(id);
+  s.team = Team("blue");
+  s.tasks = tasks;
+  s.each = {1, 0, 1};
+  s.image = ImageName("img");
+  s.image_gb = 1;
+  s.priority = p;
+  s.estimate_s = 20;
+  return std::make_shared<const wire::JobSpec>(s);
+}
+
+// A part with workers whose reports the test composes, and a stand-in for what is recorded about jobs.
+struct Bench {
+  explicit Bench(std::uint64_t term = 5) : part(PartId(0), Term(term), params(), at(0)) {
+    part.set_catalogue(catalogue());
+  }
+
+  wire::Report& worker(const char* name) {
+    auto& w = workers[name];
+    if (w.machine.value().empty()) {
+      w.machine = MachineName(name);
+      w.address = "127.0.0.1:1";
+      w.type = MachineType("t4");
+      w.zone = Zone("a");
+      w.session = Session(1);
+    }
+    return w;
+  }
+  // The worker reports; it has seen the part's token unless told otherwise.
+  bool report(const char* name, double t, bool obeys = true) {
+    auto& w = worker(name);
+    if (obeys) w.token = std::max(w.token, Token::first_of(part.term()));
+    w.sequence = Sequence(w.sequence.value() + 1);
+    bool ok = part.on_report(w, at(t));
+    if (ok) part.answer(w.machine, at(t));
+    return ok;
+  }
+  void register_all(double t) {
+    std::vector<store::MachineRecord> all;
+    for (auto& [n, w] : workers) all.push_back({w.machine, w.type, w.zone, w.spot});
+    part.on_registry(all, at(t));
+  }
+  void grant(const char* id, std::uint32_t tasks, std::uint64_t term, double t,
+             Priority p = Priority::kNormal, bool preempt = false) {
+    auto& j = jobs[id];
+    if (!j.record.spec) {
+      j.record = {spec(id, tasks, p), WallMs(0)};
+      j.created = Revision(1);
+    }
+    j.grants.value.last = Generation(j.grants.value.last.value() + 1);
+    j.grants.value.chunks = {
+        {j.grants.value.last, PartId(0), Term(term), Ranges::span(0, tasks), std::nullopt, preempt, {}}};
+    j.grants.version = Revision(++revision);
+    show(id, t);
+  }
+  void show(const char* id, double t, std::optional<End> end = std::nullopt) {
+    part.on_job(JobId(id), &jobs[id], end, at(t));
+  }
+  // What the state service does with unwritten progress.
+  void record(double t) {
+    for (auto& [id, p] : part.unwritten()) {
+      jobs[id.value()].progress[PartId(0)] = {p, Revision(++revision)};
+      part.on_job(id, &jobs[id.value()], std::nullopt, at(t));
+    }
+  }
+  // Carries a batch out at its worker and hands the answer back.
+  std::vector<wire::Command> carry_out(double t) {
+    std::vector<wire::Command> all;
+    for (auto& b : part.take_batches(at(t))) {
+      auto& w = worker(b.machine.value().c_str());
+      apply(w, b);
+      part.on_commands(b, Part::CommandResult::kExecuted, w, at(t));
+      all.insert(all.end(), b.commands.begin(), b.commands.end());
+    }
+    return all;
+  }
+  void apply(wire::Report& w, const Part::Batch& b) {
+    w.token = std::max(w.token, b.token);
+    w.sequence = Sequence(w.sequence.value() + 1);
+    for (auto& c : b.commands) {
+      auto it = std::find_if(w.tasks.begin(), w.tasks.end(),
+                             [&](auto& x) { return x.task == c.task && x.attempt == c.attempt; });
+      if (c.op == wire::Command::Op::kStart && it == w.tasks.end())
+        w.tasks.push_back({c.task, c.attempt, TaskState::kRunning, EndCause::kDone, false});
+      if (c.op == wire::Command::Op::kStop && it != w.tasks.end()) {
+        it->state = TaskState::kEnded;
+        it->cause = EndCause::kStopped;
+      }
+      if (c.op == wire::Command::Op::kForget && it != w.tasks.end()) w.tasks.erase(it);
+    }
+  }
+  void tick(double t) { part.tick(at(t), at(t)); }
+
+  Part part;
+  std::map<std::string, wire::Report> workers;
+  std::map<std::string, store::Job> jobs;
+  std::uint64_t revision = 10;
+};
+
+TEST(Estimator, SmallerOfRoomAndCap) {
+  struct Case {
+    Resources each;
+    std::uint32_t cap;
+    std::uint32_t expected;
+  };
+  const Case cases[] = {
+      {{1, 0, 1}, 64, 4}, {{1, 0, 8}, 64, 2}, {{0.1, 0, 0.1}, 64, 40}, {{0.1, 0, 0.1}, 7, 7},
+      {{5, 0, 1}, 64, 0}, {{1, 1, 1}, 64, 0}, {{4, 0, 16}, 64, 1},     {{0.4, 0, 1.6}, 64, 10},
+  };
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  for (const auto& c : cases) {
+    wire::Shape s;
+    s.each = c.each;
+    auto room = estimate(b.part.machines(), s, {c.cap, 0}, at(0));
+    std::uint32_t n = room.empty() ? 0 : room[0].free;
+    EXPECT_EQ(n, c.expected) << c.each.cpus << ' ' << c.each.memory_gb << ' ' << c.cap;
+  }
+}
+
+TEST(Estimator, CountsMatchingMachinesOnly) {
+  struct Case {
+    const char* what;
+    std::optional<std::vector<MachineType>> types;
+    std::optional<Zone> zone;
+    bool spot_machine, spot_job;
+    bool allowed;
+  };
+  const Case cases[] = {
+      {"any", std::nullopt, std::nullopt, false, false, true},
+      {"type", std::vector{MachineType("t4")}, std::nullopt, false, false, true},
+      {"other type", std::vector{MachineType("t8")}, std::nullopt, false, false, false},
+      {"no type", std::vector<MachineType>{}, std::nullopt, false, false, false},
+      {"zone", std::nullopt, Zone("a"), false, false, true},
+      {"other zone", std::nullopt, Zone("b"), false, false, false},
+      {"spot refused", std::nullopt, std::nullopt, true, false, false},
+      {"spot taken", std::nullopt, std::nullopt, true, true, true},
+      {"ordinary for a spot job", std::nullopt, std::nullopt, false, true, true},
+  };
+  for (const auto& c : cases) {
+    wire::Shape s;
+    s.types = c.types;
+    s.zone = c.zone;
+    s.spot = c.spot_job;
+    EXPECT_EQ(allowed(s, MachineType("t4"), Zone("a"), c.spot_machine), c.allowed) << c.what;
+  }
+}
+
+TEST(Placement, FullestMachineThatFitsAndHoldsTheImage) {
+  Bench b;
+  for (const char* n : {"m1", "m2", "m3"}) b.worker(n);
+  b.register_all(0);
+  for (const char* n : {"m1", "m2", "m3"}) b.report(n, 0);
+  b.grant("run-1", 1, 5, 0);
+  b.tick(0);
+  auto first = b.carry_out(0);
+  ASSERT_EQ(first.size(), 1u);
+  // The next task follows it: that machine is the fullest and holds the image now.
+  b.grant("run-2", 4, 5, 1);
+  b.tick(1);
+  std::map<std::string, int> on;
+  for (auto& batch : b.part.take_batches(at(1)))
+    on[batch.machine.value()] += static_cast<int>(batch.commands.size());
+  EXPECT_EQ(on["m1"], 3);
+  EXPECT_EQ(on["m2"] + on["m3"], 1);
+}
+
+TEST(Parting, SameAtEveryNodeAndEveryZoneHasAPart) {
+  config::Settings s;
+  auto make = [&](const char* self, const char* zone,
+                  std::vector<std::pair<const char*, const char*>> others) {
+    config::Settings x;
+    x.node = NodeName(self);
+    x.zone = Zone(zone);
+    for (auto& [n, z] : others) x.peers.push_back({NodeName(n), Zone(z), ""});
+    x.zones = {Zone("a"), Zone("b"), Zone("c"), Zone("d")};
+    return Parting(x);
+  };
+  Parting p0 = make("n0", "a", {{"n1", "b"}, {"n2", "a"}});
+  Parting p2 = make("n2", "a", {{"n0", "a"}, {"n1", "b"}});
+  std::map<std::uint32_t, int> used;
+  for (const char* z : {"a", "b", "c", "d", "unheard-of"})
+    for (int i = 0; i < 50; ++i) {
+      MachineName m("host-" + std::to_string(i));
+      EXPECT_EQ(p0.of(Zone(z), m), p2.of(Zone(z), m));
+      ++used[p0.of(Zone(z), m).value()];
+    }
+  EXPECT_EQ(used.size(), 3u);
+  EXPECT_EQ(p0.home(p0.part_of_node(NodeName("n1"))), NodeName("n1"));
+  EXPECT_EQ(p0.of(Zone("b"), MachineName("x")), p0.part_of_node(NodeName("n1")));
+}
+
+TEST(Part, StartsRecordsAndForgets) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 2, 5, 0);
+  b.tick(0);
+  EXPECT_EQ(b.carry_out(0).size(), 2u);
+  auto& w = b.worker("m1");
+  w.tasks[0].state = TaskState::kEnded;
+  b.report("m1", 1);
+  // Not cleared before it's recorded: the report is the only other place that knows.
+  b.tick(1);
+  EXPECT_TRUE(b.carry_out(1).empty());
+  b.record(1);
+  b.tick(1);
+  auto commands = b.carry_out(1);
+  ASSERT_EQ(commands.size(), 1u);
+  EXPECT_EQ(commands[0].op, wire::Command::Op::kForget);
+  EXPECT_EQ(b.jobs["run-1"].progress[PartId(0)].value.done.count(), 1u);
+}
+
+TEST(Part, NothingStartsOnAMachineThatIsNotRegistered) {
+  Bench b;
+  b.worker("m1");
+  b.part.on_registry({}, at(0));
+  b.report("m1", 0);
+  b.grant("run-1", 1, 5, 0);
+  b.tick(0.1);
+  EXPECT_TRUE(b.carry_out(0.1).empty());
+  EXPECT_EQ(b.part.unregistered().size(), 1u);
+  b.register_all(0.2);
+  b.tick(0.2);
+  EXPECT_EQ(b.carry_out(0.2).size(), 1u);
+}
+
+TEST(Part, WhatDoesNotFitReturnsAfterAReportPeriod) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 6, 5, 0);
+  b.tick(0);
+  EXPECT_EQ(b.carry_out(0).size(), 4u);
+  EXPECT_TRUE(b.part.unwritten().empty());
+  b.tick(1.1);
+  b.record(1.1);
+  EXPECT_EQ(b.jobs["run-1"].progress[PartId(0)].value.returned.at(0).tasks.count(), 2u);
+  EXPECT_EQ(b.jobs["run-1"].outstanding().count(), 4u);
+}
+
+// Settling of starts: each case is what happens to a batch of one start, and whether the task may be started
+// elsewhere after the reports that follow.
+TEST(Part, AStartWithoutAnAnswerIsSettledByAHigherTokenOnly) {
+  struct Case {
+    const char* what;
+    bool executed;     // the worker did carry it out
+    bool sees_fence;   // the worker's next report shows the raised token
+    bool new_session;  // the worker's lease ran out meanwhile
+    bool may_run_elsewhere;
+  };
+  const Case cases[] = {
+      {"absent from a report below the fence: still possible", false, false, false, false},
+      {"absent from a report at the fence: never", false, true, false, true},
+      {"listed below the fence", true, false, false, false},
+      {"listed at the fence", true, true, false, false},
+      {"new session", false, false, true, true},
+  };
+  for (const auto& c : cases) {
+    Bench b;
+    b.worker("m1");
+    b.register_all(0);
+    b.report("m1", 0);
+    b.grant("run-1", 1, 5, 0);
+    b.tick(0);
+    auto batches = b.part.take_batches(at(0));
+    ASSERT_EQ(batches.size(), 1u);
+    auto& w = b.worker("m1");
+    if (c.executed) b.apply(w, batches[0]);
+    b.part.on_commands(batches[0], Part::CommandResult::kNoAnswer, std::nullopt, at(2));
+    // Only probes are sent until it's settled.
+    for (auto& p : b.part.take_batches(at(2))) EXPECT_TRUE(p.commands.empty()) << c.what;
+    if (c.sees_fence) w.token = b.part.machines().at(MachineName("m1")).token;
+    if (c.new_session) {
+      w.session = Session(2);
+      w.sequence = Sequence(0);
+    }
+    b.report("m1", 2.5);
+    b.worker("m2");
+    b.register_all(2.6);
+    b.report("m2", 2.6);
+    b.tick(2.7);
+    std::size_t starts = 0;
+    for (auto& p : b.part.take_batches(at(2.7)))
+      for (auto& x : p.commands) starts += x.op == wire::Command::Op::kStart;
+    EXPECT_EQ(starts > 0, c.may_run_elsewhere) << c.what;
+  }
+}
+
+TEST(Part, EveryBatchHasAHigherTokenThanAllBefore) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  Token last;
+  for (int i = 0; i < 4; ++i) {
+    b.grant(("run-" + std::to_string(i + 1)).c_str(), 1, 5, i);
+    b.tick(i);
+    auto batches = b.part.take_batches(at(i));
+    ASSERT_EQ(batches.size(), 1u);
+    EXPECT_GT(batches[0].token, last);
+    last = batches[0].token;
+    b.apply(b.worker("m1"), batches[0]);
+    b.part.on_commands(batches[0], Part::CommandResult::kExecuted, b.worker("m1"), at(i));
+  }
+  EXPECT_EQ(b.part.answer(MachineName("m1"), at(5)), last);
+}
+
+TEST(Part, ARefusedBatchIsStartedAnew) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 1, 5, 0);
+  b.tick(0);
+  auto batches = b.part.take_batches(at(0));
+  auto& w = b.worker("m1");
+  w.session = Session(2);
+  w.sequence = Sequence(1);
+  b.part.on_commands(batches.at(0), Part::CommandResult::kRejected, w, at(0.1));
+  b.tick(0.2);
+  auto again = b.part.take_batches(at(0.2));
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].session, Session(2));
+  EXPECT_NE(again[0].commands.at(0).attempt, batches[0].commands.at(0).attempt);
+}
+
+TEST(Part, StaleReportsAreDropped) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 1, 5, 0);
+  b.tick(0);
+  auto before = b.worker("m1");
+  b.carry_out(0);
+  // Sent before the task was started, delivered after.
+  EXPECT_FALSE(b.part.on_report(before, at(0.5)));
+  EXPECT_EQ(b.part.machines().at(MachineName("m1")).tasks.size(), 1u);
+}
+
+TEST(Part, AHigherTermAnywhereEndsItsActing) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 1, 5, 0);
+  b.worker("m1").token = Token::first_of(Term(6));
+  b.report("m1", 0.5);
+  EXPECT_TRUE(b.part.superseded());
+  b.tick(0.6);
+  EXPECT_TRUE(b.part.take_batches(at(0.6)).empty());
+  EXPECT_TRUE(b.part.take_deletions(at(100)).empty());
+}
+
+// Takeover: an earlier grant starts only once every registered machine has been heard or is gone; a new one
+// at once.
+TEST(Takeover, EarlierGrantsWaitForEveryMachine) {
+  Bench b(6);
+  b.worker("m1");
+  b.worker("m2");
+  b.register_all(0);
+  b.grant("run-1", 1, 5, 0);  // by an earlier owner
+  b.report("m1", 0.5);
+  b.grant("run-2", 1, 6, 0.6);
+  b.tick(0.7);
+  auto starts = b.carry_out(0.7);
+  ASSERT_EQ(starts.size(), 1u);
+  EXPECT_EQ(starts[0].task.job, JobId("run-2"));
+  // m2 answers to an older term only: what it runs isn't known to be all.
+  b.worker("m2").token = Token::first_of(Term(5));
+  b.report("m2", 1.0, false);
+  b.tick(1.1);
+  EXPECT_TRUE(b.carry_out(1.1).empty());
+  b.report("m2", 2.0);
+  b.tick(2.1);
+  starts = b.carry_out(2.1);
+  ASSERT_EQ(starts.size(), 1u);
+  EXPECT_EQ(starts[0].task.job, JobId("run-1"));
+}
+
+TEST(Takeover, ATaskThatEndedMeanwhileIsHeldToo) {
+  Bench b(6);
+  b.worker("m1");
+  b.worker("m2");
+  b.register_all(0);
+  b.grant("run-1", 1, 5, 0);
+  auto& w = b.worker("m1");
+  w.tasks.push_back({{JobId("run-1"), 0}, Attempt(3), TaskState::kRunning, EndCause::kDone, false});
+  b.report("m1", 0.5);
+  // The old owner may have proved m1 gone and started it on m2 before m2 was fenced.
+  w.tasks[0].state = TaskState::kEnded;
+  w.tasks[0].cause = EndCause::kStopped;
+  b.report("m1", 1.0);
+  b.tick(1.1);
+  for (auto& c : b.carry_out(1.1)) EXPECT_NE(c.op, wire::Command::Op::kStart);
+  b.part.on_deleted(MachineName("m2"), at(1.5));
+  b.tick(1.6);
+  std::size_t starts = 0;
+  for (auto& c : b.carry_out(1.6)) starts += c.op == wire::Command::Op::kStart;
+  EXPECT_EQ(starts, 1u);
+}
+
+TEST(Takeover, RunningTasksAreKept) {
+  Bench b(6);
+  b.worker("m1").tasks.push_back(
+      {{JobId("run-1"), 0}, Attempt(3), TaskState::kRunning, EndCause::kDone, false});
+  b.register_all(0);
+  b.grant("run-1", 1, 5, 0);
+  b.report("m1", 0.5);
+  b.tick(5);
+  EXPECT_TRUE(b.carry_out(5).empty());
+  EXPECT_EQ(b.part.running(JobId("run-1")), 1u);
+}
+
+TEST(Part, CancelledJobsAreStoppedAndTheirGrantsDrain) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 6, 5, 0);
+  b.tick(0);
+  EXPECT_EQ(b.carry_out(0).size(), 4u);
+  b.show("run-1", 0.5, End::kCancelled);
+  b.tick(0.5);
+  auto commands = b.carry_out(0.5);
+  EXPECT_EQ(commands.size(), 4u);
+  for (auto& c : commands) EXPECT_EQ(c.op, wire::Command::Op::kStop);
+  b.tick(0.6);
+  auto p = b.part.unwritten();
+  ASSERT_EQ(p.size(), 1u);
+  EXPECT_EQ(p.begin()->second.returned.at(0).tasks.count(), 6u);
+}
+
+TEST(Part, WithoutWordOfCancellationsNothingStarts) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 20);
+  b.grant("run-1", 1, 5, 20);
+  b.part.tick(at(20), at(0));
+  EXPECT_TRUE(b.carry_out(20).empty());
+}
+
+// Silence: what the owner concludes from it.
+TEST(Silence, DeletesOneMachineButNotMany) {
+  Bench b;
+  for (const char* n : {"m1", "m2", "m3", "m4"}) b.worker(n);
+  b.register_all(0);
+  for (const char* n : {"m1", "m2", "m3", "m4"}) b.report(n, 0);
+  for (const char* n : {"m2", "m3", "m4"}) b.report(n, 5.5);
+  EXPECT_EQ(b.part.take_deletions(at(6)), std::vector{MachineName("m1")});
+  // All of them silent: this node is cut off, rather than four machines dead.
+  EXPECT_TRUE(b.part.take_deletions(at(30)).empty());
+}
+
+TEST(Silence, TheLeaseProvesOnlyWithLaterWordOfTheRole) {
+  struct Case {
+    double now, word;
+    bool gone;
+  };
+  for (const auto& c : {Case{9, 9, false}, Case{12, 5, false}, Case{12, 12, true}}) {
+    Bench b;
+    b.worker("m1");
+    b.register_all(0);
+    b.report("m1", 0);
+    b.grant("run-1", 1, 5, 0);
+    b.tick(0);
+    b.carry_out(0);
+    b.part.tick(at(c.now), at(c.word));
+    EXPECT_EQ(b.part.machines().at(MachineName("m1")).tasks.empty(), c.gone) << c.now << ' ' << c.word;
+  }
+}
+
+TEST(Failures, AMachineOnWhichManyJobsFailIsSetAside) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  auto& w = b.worker("m1");
+  for (int i = 1; i <= 2; ++i) {
+    auto id = "run-" + std::to_string(i);
+    b.grant(id.c_str(), 1, 5, i);
+    b.tick(i);
+    b.carry_out(i);
+    for (auto& t : w.tasks) {
+      t.state = TaskState::kEnded;
+      t.cause = EndCause::kError;
+    }
+    b.report("m1", i + 0.5);
+    b.tick(i + 0.5);
+    b.carry_out(i + 0.5);
+  }
+  EXPECT_TRUE(b.part.machines().at(MachineName("m1")).sick);
+  EXPECT_EQ(b.part.take_deletions(at(4)).size(), 1u);
+}
+
+TEST(Failures, AJobThatFailsEverywhereBacksOff) {
+  Bench b;
+  std::vector<std::string> names;
+  for (int i = 0; i < 8; ++i) names.push_back("m" + std::to_string(i));
+  for (auto& n : names) b.worker(n.c_str());
+  b.register_all(0);
+  for (auto& n : names) b.report(n.c_str(), 0);
+  b.grant("run-1", 1, 5, 0);
+  std::size_t starts = 0;
+  for (double t = 0; t < 20; t += 0.5) {
+    b.tick(t);
+    for (auto& c : b.carry_out(t)) starts += c.op == wire::Command::Op::kStart;
+    b.record(t);
+    if (b.jobs["run-1"].outstanding().empty()) b.grant("run-1", 1, 5, t);
+    for (auto& n : names) {
+      for (auto& x : b.worker(n.c_str()).tasks) {
+        x.state = TaskState::kEnded;
+        x.cause = EndCause::kError;
+      }
+      b.report(n.c_str(), t + 0.2);
+    }
+  }
+  EXPECT_GE(starts, 3u);
+  EXPECT_LE(starts, 8u);
+  for (auto& [n, m] : b.part.machines()) EXPECT_FALSE(m.sick) << n.value();
+}
+
+TEST(Preemption, StopsWhatLosesLeastAndOnlyLowerPriority) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 3, 5, 0);
+  b.tick(0);
+  b.carry_out(0);
+  b.report("m1", 0.5);
+  b.grant("run-2", 1, 5, 9);  // the youngest loses least
+  b.report("m1", 9);
+  b.tick(9);
+  b.carry_out(9);
+  b.report("m1", 9.5);
+  b.grant("run-3", 1, 5, 10, Priority::kHigh, true);
+  b.tick(10);
+  auto commands = b.carry_out(10);
+  ASSERT_EQ(commands.size(), 1u);
+  EXPECT_EQ(commands[0].op, wire::Command::Op::kStop);
+  EXPECT_EQ(commands[0].task.job, JobId("run-2"));
+  b.tick(10.1);
+  bool started = false;
+  for (auto& c : b.carry_out(10.1))
+    started |= c.op == wire::Command::Op::kStart && c.task.job == JobId("run-3");
+  EXPECT_TRUE(started);
+  // Work of the same priority is left alone.
+  b.grant("run-4", 1, 5, 11, Priority::kNormal, true);
+  b.tick(11);
+  for (auto& c : b.carry_out(11)) EXPECT_NE(c.op, wire::Command::Op::kStop);
+}
+
+TEST(Notice, TasksThatCannotFinishInTimeAreStopped) {
+  struct Case {
+    double notice, ran;
+    bool stopped;
+  };
+  for (const auto& c : {Case{8, 1, true}, Case{8, 15, false}, Case{30, 0, false}}) {
+    Bench b;
+    b.worker("m1");
+    b.register_all(0);
+    b.report("m1", 0);
+    b.grant("run-1", 1, 5, 0);
+    b.tick(0);
+    b.carry_out(0);
+    b.report("m1", 0.1);
+    for (double t = 1; t < c.ran; ++t) b.report("m1", t);
+    b.worker("m1").notice_s = c.notice;
+    b.report("m1", 0.1 + c.ran);
+    b.tick(0.1 + c.ran);
+    bool stopped = false;
+    for (auto& x : b.carry_out(0.1 + c.ran)) stopped |= x.op == wire::Command::Op::kStop;
+    EXPECT_EQ(stopped, c.stopped) << c.notice << ' ' << c.ran;
+  }
+}
+
+}  // namespace
+}  // namespace beaconsill::part
--- /dev/null
+++ b/tests/store_test.cpp
@@ -0,0 +1,127 @@
+#include <gtest/gtest.h>
+
+#include "store/budget.h"
+#include "store/view.h"
+
+namespace beaconsill::store {
+namespace {
+
+using wire::Json;
+
+Instant at(double s) {
+  return Instant{} + from_seconds(1000 + s);
+}
+
+TEST(Budget, KeepsToItsRate) {
+  Budget b(10, 1.0, at(0));
+  int taken = 0;
+  for (int ms = 0; ms < 10000; ms += 5)
+    while (b.take(1, false, at(ms / 1000.0))) ++taken;
+  EXPECT_NEAR(taken, 110, 1);  // a burst, then the rate
+}
+
+TEST(Budget, UrgentOverdrawsByOneBurstOnly) {
+  Budget b(10, 1.0, at(0));
+  int normal = 0, urgent = 0;
+  while (b.take(1, false, at(0))) ++normal;
+  while (b.take(1, true, at(0))) ++urgent;
+  EXPECT_EQ(normal, 10);
+  EXPECT_EQ(urgent, 10);
+  EXPECT_FALSE(b.take(1, false, at(1.0)));  // the overdraft is paid back first
+  EXPECT_TRUE(b.take(1, false, at(1.2)));
+}
+
+TEST(Budget, MoreThanABurstWaitsForAFullBucketOnly) {
+  Budget b(5, 1.0, at(0));
+  EXPECT_TRUE(b.take(8, false, at(0)));
+  EXPECT_FALSE(b.take(8, false, at(1.0)));
+  EXPECT_LE(b.ready_at(8, false, at(1.0)), at(1.7));
+  EXPECT_TRUE(b.take(8, false, at(1.7)));
+}
+
+TEST(Budget, RefusalEmptiesIt) {
+  Budget b(10, 1.0, at(0));
+  b.drain(at(0));
+  EXPECT_FALSE(b.take(1, false, at(0.05)));
+  EXPECT_TRUE(b.take(1, false, at(0.15)));
+}
+
+Json job(const char* id, int tasks) {
+  wire::JobSpec s;
+  s.id = JobId(id);
+  s.job_class = "c";
+  s.team = Team("blue");
+  s.tasks = static_cast<std::uint32_t>(tasks);
+  s.image = ImageName("i");
+  return to_json(JobRecord{std::make_shared<const wire::JobSpec>(s), WallMs(5)});
+}
+
+wire::Change set(std::string key, Json v, std::uint64_t rev) {
+  return {std::move(key), std::move(v), Revision(rev)};
+}
+
+TEST(Records, SurviveTheRoundTrip) {
+  Grants g{{{Generation(3), PartId(1), Term(7), Ranges::span(0, 4), Zone("z"), true, Attempt(9)},
+            {Generation(4), PartId(0), Term(2), Ranges::span(4, 9), std::nullopt, false, {}}},
+           Generation(4)};
+  auto back = parse_grants(to_json(g));
+  EXPECT_EQ(back.chunks, g.chunks);
+  EXPECT_EQ(back.last, g.last);
+  Progress p{Ranges::span(0, 3), {{Generation(3), Ranges::span(3, 4)}}};
+  EXPECT_EQ(parse_progress(to_json(p)), p);
+  std::vector<MachineRecord> m{{MachineName("m"), MachineType("t"), Zone("z"), true}};
+  EXPECT_EQ(parse_machines(to_json(m)), m);
+  EXPECT_EQ(parse_ending(to_json(Ending{End::kCancelled, 4})).done, 4u);
+  EXPECT_THROW(parse_grants(Json{{"last", 1}, {"chunks", 7}}), wire::WireError);
+  EXPECT_THROW(parse_progress(Json{{"done", "5-1"}, {"returned", Json::array()}}), wire::WireError);
+}
+
+TEST(View, OutstandingIsGrantedLessDoneAndReturned) {
+  JobId id("run-1");
+  View v;
+  v.apply(set(job_key(id), job("run-1", 10), 1));
+  v.apply(set(grants_key(id),
+              to_json(Grants{{{Generation(1), PartId(0), Term(1), Ranges::span(0, 4), {}, false, {}},
+                              {Generation(2), PartId(1), Term(1), Ranges::span(4, 9), {}, false, {}}},
+                             Generation(2)}),
+              2));
+  EXPECT_EQ(v.job(id)->outstanding().str(), "0-8");
+  v.apply(set(progress_key(PartId(0), id),
+              to_json(Progress{Ranges::span(0, 2), {{Generation(1), Ranges::span(3, 4)}}}), 3));
+  EXPECT_EQ(v.job(id)->outstanding(PartId(0)).str(), "2");
+  EXPECT_EQ(v.job(id)->outstanding().str(), "2,4-8");
+  // A return counts for its generation only: given out again, the task is out.
+  v.apply(set(grants_key(id),
+              to_json(Grants{{{Generation(3), PartId(0), Term(1), Ranges::span(3, 4), {}, false, {}}},
+                             Generation(3)}),
+              4));
+  EXPECT_EQ(v.job(id)->outstanding().str(), "3");
+}
+
+TEST(View, TheHighestVersionStandsWhateverTheOrder) {
+  JobId id("run-1");
+  View v;
+  v.apply(set(end_key(id), to_json(Ending{End::kDone, 1}), 9));
+  v.apply(set(end_key(id), to_json(Ending{End::kCancelled, 0}), 5));
+  EXPECT_EQ(v.end(id), End::kDone);
+  v.apply(set(part_role_key(PartId(0)), to_json(Role{NodeName("a"), Term(2)}), 8));
+  v.apply(set(part_role_key(PartId(0)), to_json(Role{NodeName("b"), Term(1)}), 7));
+  EXPECT_EQ(v.part_role(PartId(0)).value.node, NodeName("a"));
+  v.apply(set(alive_key(NodeName("a")), Json{{"up", true}}, 3));
+  EXPECT_TRUE(v.alive(NodeName("a")));
+  v.apply({alive_key(NodeName("a")), std::nullopt, Revision(10)});
+  EXPECT_FALSE(v.alive(NodeName("a")));
+}
+
+TEST(View, ValuesThatMakeNoSenseAreDropped) {
+  View v;
+  for (const char* key : {"jobs/run-1", "grants/run-1", "progress/0/run-1", "ends/run-1", "roles/leader",
+                          "machines/0/1", "machines/x/y", "novel/thing"})
+    v.apply(set(std::string(kPrefix) + key, Json{{"odd", 1}}, 1));
+  v.apply(set("elsewhere/jobs/run-1", job("run-1", 1), 2));
+  EXPECT_EQ(v.job(JobId("run-1")), nullptr);
+  EXPECT_FALSE(v.end(JobId("run-1")));
+}
+
+}  // namespace
+}  // namespace beaconsill::store
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,165 @@
+#include <gtest/gtest.h>
+
+#include "wire/api.h"
+#include "wire/cloud.h"
+#include "wire/peer.h"
+#include "wire/store.h"
+#include "wire/worker.h"
+
+namespace beaconsill::wire {
+namespace {
+
+const char* const kJob = R"({"ref":"run-000412","berth":"train","crew":"vision","shape":"batch",
+  "precedence":"high","lamps":16,"vcpus":8.0,"cards":1.0,"memoryGb":64.0,"cargo":"img-07","sizeGb":6.2,
+  "hulls":["g8"],"harbour":null,"together":true,"scatter":false,"driftwood":true,
+  "reckonS":240.0,"markS":30.0,"stowS":4.0,"tideS":900.0,"later":[1,2]})";
+
+TEST(Job, GoodOnesSurviveTheRoundTrip) {
+  auto spec = parse_job(parse_object(kJob));
+  EXPECT_EQ(spec.id, JobId("run-000412"));
+  EXPECT_EQ(spec.priority, Priority::kHigh);
+  EXPECT_EQ(spec.tasks, 16u);
+  EXPECT_FALSE(spec.zone);
+  ASSERT_TRUE(spec.types);
+  EXPECT_EQ(job_to_json(parse_job(job_to_json(spec))), job_to_json(spec));
+}
+
+// Each case replaces one field (or the whole text) by something that must be refused.
+TEST(Job, BadOnesAreRefused) {
+  struct Case {
+    const char* field;
+    const char* value;  // JSON; null pointer: the field is left out
+  };
+  const Case cases[] = {
+      {"ref", nullptr},          {"ref", "\"\""},         {"ref", "\"run-\""},
+      {"ref", "\"job-1\""},      {"ref", "\"run-1/2\""},  {"ref", "17"},
+      {"berth", "null"},         {"crew", "{}"},          {"shape", "\"array\""},
+      {"precedence", "\"top\""}, {"lamps", "0"},          {"lamps", "-1"},
+      {"lamps", "1.5"},          {"lamps", "100001"},     {"lamps", "1e30"},
+      {"lamps", "\"7\""},        {"vcpus", "-0.5"},       {"vcpus", "\"8\""},
+      {"vcpus", "1e300"},        {"memoryGb", "null"},    {"hulls", "\"g8\""},
+      {"hulls", "[1]"},          {"harbour", "3"},        {"together", "1"},
+      {"scatter", nullptr},      {"driftwood", "\"no\""}, {"reckonS", "-1"},
+      {"tideS", "[]"},           {"cargo", "\"\""},       {"lamps", "18446744073709551616"},
+  };
+  for (const auto& c : cases) {
+    auto j = parse_object(kJob);
+    if (c.value) {
+      j[c.field] = Json::parse(c.value);
+    } else {
+      j.erase(c.field);
+    }
+    EXPECT_THROW(parse_job(j), WireError) << c.field << " = " << (c.value ? c.value : "missing");
+  }
+  for (const char* text : {"", "{", "[]", "null", "\"x\"", "{\"ref\":1e999}", "\xff\xfe", "{}x", "NaN"})
+    EXPECT_THROW(parse_object(text), WireError) << text;
+}
+
+TEST(Report, ParsesAndRefuses) {
+  auto good =
+      parse_object(R"({"beacon":"host-1","address":"10.1.0.2:9000","hull":"g8","harbour":"a","driftwood":true,
+    "watch":2,"tally":88,"helm":41,"recallS":12.5,
+    "lamps":[{"lamp":"run-000412/3","launch":2,"bearing":"running"},
+             {"lamp":"run-000398/0","launch":1,"bearing":"ended","cause":"halted","stored":true},
+             {"lamp":"run-000399/0","launch":1,"bearing":"ended","cause":"some_new_cause"}]})");
+  auto r = parse_report(good);
+  EXPECT_EQ(r.machine, MachineName("host-1"));
+  EXPECT_EQ(r.token, Token(41));
+  ASSERT_EQ(r.tasks.size(), 3u);
+  EXPECT_EQ(r.tasks[0].task, (TaskId{JobId("run-000412"), 3}));
+  EXPECT_EQ(r.tasks[1].cause, EndCause::kStopped);
+  EXPECT_TRUE(r.tasks[1].saved);
+  EXPECT_EQ(r.tasks[2].cause, EndCause::kError);
+  struct Case {
+    const char* field;
+    const char* value;
+  };
+  for (const auto& c : {Case{"watch", "-1"}, Case{"tally", "\"8\""}, Case{"helm", "1.5"}, Case{"lamps", "{}"},
+                        Case{"lamps", "[1]"}, Case{"lamps", "[{\"lamp\":\"x\"}]"}, Case{"beacon", "\"\""}}) {
+    auto j = good;
+    j[c.field] = Json::parse(c.value);
+    EXPECT_THROW(parse_report(j), WireError) << c.field;
+  }
+}
+
+TEST(Report, NewerBySessionThenSequence) {
+  Report r;
+  r.session = Session(2);
+  r.sequence = Sequence(5);
+  struct Case {
+    std::uint64_t session, sequence;
+    bool newer;
+  };
+  for (const auto& c :
+       {Case{1, 99, true}, Case{2, 4, true}, Case{2, 5, false}, Case{2, 6, false}, Case{3, 1, false}})
+    EXPECT_EQ(r.newer_than(Session(c.session), Sequence(c.sequence)), c.newer)
+        << c.session << '/' << c.sequence;
+}
+
+TEST(Commands, HaveTheFormOfTheProtocol) {
+  std::vector<Command> commands{{Command::Op::kStart, {JobId("run-1"), 4}, Attempt(2), 0},
+                                {Command::Op::kStop, {JobId("run-2"), 0}, Attempt(1), 10},
+                                {Command::Op::kForget, {JobId("run-3"), 0}, Attempt(1), 0}};
+  EXPECT_EQ(parse_object(render_commands(Token(41), Session(1), commands)), parse_object(R"(
+    {"helm":41,"watch":1,"signals":[{"signal":"run","lamp":"run-1/4","launch":2},
+     {"signal":"kill","lamp":"run-2/0","launch":1,"dousingS":10.0},{"signal":"clear","lamp":"run-3/0","launch":1}]})"));
+  EXPECT_EQ(render_redirect(NodeName("n2")), R"({"keeper":"n2"})");
+  EXPECT_EQ(render_redirect(std::nullopt), "{}");
+}
+
+TEST(Store, Forms) {
+  Txn t{{{"a/b", Revision()}}, {{"a/b", Json{{"x", 1}}, HoldId(7)}, {"c/d", std::nullopt, std::nullopt}}};
+  EXPECT_EQ(
+      parse_object(render_txn(t)),
+      parse_object(
+          R"({"when":[{"path":"a/b","entry":0}],"writes":[{"set":"a/b","v":{"x":1},"moorage":7},{"drop":"c/d"}]})"));
+  auto c = parse_changes(parse_object(
+      R"({"logline":433,"news":[{"set":"c/9","v":{"y":2},"entry":433},{"drop":"c/d","entry":432}]})"));
+  ASSERT_EQ(c.changes.size(), 2u);
+  EXPECT_TRUE(c.changes[0].value);
+  EXPECT_FALSE(c.changes[1].value);
+  EXPECT_EQ(c.revision, Revision(433));
+  EXPECT_THROW(parse_changes(parse_object(R"({"news":[{"set":"x"}],"logline":1})")), WireError);
+  EXPECT_THROW(parse_page(parse_object(R"({"rows":7,"logline":1})")), WireError);
+}
+
+TEST(Peer, EveryKindSurvivesTheRoundTrip) {
+  Shape shape{{1, 0, 2},
+              std::vector<MachineType>{MachineType("g8")},
+              Zone("a"),
+              true,
+              ImageName("i"),
+              Priority::kHigh,
+              7};
+  Summary summary{PartId(1),
+                  Term(2),
+                  Revision(3),
+                  {{MachineName("m"), MachineType("t"), Zone("z"), true, {1, 2, 3}, 4.5, false}},
+                  {{JobId("run-1"), 6}}};
+  const PeerBody bodies[] = {
+      Heartbeat{Revision(5), {{PartId(1), Term(9)}}, 11, 12, true},
+      Nudge{Revision(8)},
+      Ask{4, {shape, Shape{}}},
+      Answer{4, PartId(2), Term(3), Revision(6), {{{Zone("a"), 1, 2, 3}}, {}}},
+      summary,
+      Release{{MachineName("x"), MachineName("y")}},
+      Gone{{MachineName("z")}},
+  };
+  for (const auto& body : bodies) {
+    auto bytes = encode_peer({NodeName("n1"), body});
+    auto back = decode_peer(bytes);
+    ASSERT_TRUE(back) << body.index();
+    EXPECT_EQ(back->from, NodeName("n1"));
+    EXPECT_EQ(back->body.index(), body.index());
+    EXPECT_EQ(encode_peer(*back), bytes) << body.index();
+    // Cut off anywhere, it must be refused or read as something, never crash.
+    for (std::size_t n = 0; n < bytes.size(); n += 8) decode_peer(std::string_view(bytes).substr(0, n));
+  }
+  EXPECT_FALSE(decode_peer("garbage!"));
+  EXPECT_FALSE(decode_peer("odd"));
+  auto ask = std::get<Ask>(decode_peer(encode_peer({NodeName("n"), bodies[2]}))->body);
+  EXPECT_EQ(ask.shapes[0], shape);
+}
+
+}  // namespace
+}  // namespace beaconsill::wire
