--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -183,7 +183,7 @@
       for (const auto& [tasks, chunk] : e.live)
         if (chunk.zone) in_zone[*chunk.zone] += tasks.count();
 
-    std::vector<Room> warm, free, preemptible;
+    std::vector<Room> warm, free, preemptible, warm_preemptible;
     for (const auto& [part, term] : terms) {
       wire::ShapeRoom rooms;
       if (auto a = r.answers.find(part); a != r.answers.end()) {
@@ -195,7 +195,7 @@
       auto add = [&](std::vector<Room>& list, std::optional<Zone> zone, std::uint32_t n) {
         if (n > 0) list.push_back({part, std::move(zone), n});
       };
-      std::uint32_t part_warm = 0, part_free = 0, part_pre = 0;
+      std::uint32_t part_warm = 0, part_free = 0, part_pre = 0, part_warm_pre = 0;
       for (const auto& z : rooms) {
         if (zoned) {
           auto lessz = std::min(z.free, less);
@@ -206,11 +206,13 @@
         part_warm += z.warm;
         part_free += z.free;
         part_pre += z.preemptible;
+        part_warm_pre += z.warm_preemptible;
       }
       if (!zoned) {
         add(warm, std::nullopt, part_warm > less ? part_warm - less : 0);
         add(free, std::nullopt, part_free > less ? part_free - less : 0);
         add(preemptible, std::nullopt, part_pre);
+        add(warm_preemptible, std::nullopt, part_warm_pre);
       }
     }
     auto sum = [](const std::vector<Room>& rooms) {
@@ -245,12 +247,18 @@
         }
     }
     // Room where the image already is goes first: a fetch takes longer than anything else on the way to a
-    // start.
-    auto shares = split(want, sum(warm) >= want ? warm : free);
-    std::uint32_t placed = 0;
-    for (const auto& s : shares) placed += s.tasks;
+    // start, for a service also longer than stopping work of lower priority where the image is.
+    auto count = [](const std::vector<Share>& list) {
+      std::uint32_t n = 0;
+      for (const auto& x : list) n += x.tasks;
+      return n;
+    };
+    bool by_force_where_warm =
+        spec.kind == JobKind::kService && sum(warm) < want && sum(warm) + sum(warm_preemptible) >= want;
+    auto shares = split(want, by_force_where_warm || sum(warm) >= want ? warm : free);
     std::vector<Share> by_force;
-    if (placed < want && spec.priority > Priority::kLow) by_force = split(want - placed, preemptible);
+    if (auto placed = count(shares); placed < want)
+      by_force = split(want - placed, by_force_where_warm ? warm_preemptible : preemptible);
     if (shares.empty() && by_force.empty()) continue;
 
     Grant g{job->first, {}, e.grants_version};
--- a/src/part/estimator.cpp
+++ b/src/part/estimator.cpp
@@ -61,8 +61,12 @@
     z.zone = m.zone;
     auto n = room_on(m, s, rules, false);
     z.free += n;
-    if (m.images.has(s.image)) z.warm += n;
-    z.preemptible += std::max(room_on(m, s, rules, true), n) - n;
+    auto more = std::max(room_on(m, s, rules, true), n) - n;
+    z.preemptible += more;
+    if (m.images.has(s.image)) {
+      z.warm += n;
+      z.warm_preemptible += more;
+    }
   }
   return as_list(zones);
 }
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -517,12 +517,23 @@
       m = choose_machine(machines_, shape, zone, params_.rules, id, now);
       room = m ? room_on(*m, shape, params_.rules, false) : 0;
     }
-    if (room == 0) {
-      if (slot.preempt) {
-        preempt_for(job, slot, now);
-      } else {
-        full.insert(slot.zone);
+    // Where room is being made for it, and the image is, it starts sooner than anywhere else.
+    if (slot.target && now - slot.since < params_.report_period) {
+      auto it = machines_.find(*slot.target);
+      if (it != machines_.end() && it->second.usable(now)) {
+        if (room_on(it->second, shape, params_.rules, false) == 0) continue;
+        start(it->second, task, job, slot, now);
+        room = 0;
+        continue;
       }
+    }
+    if (slot.preempt) {
+      bool cold = room == 0 || !m->images.has(shape.image);
+      if (cold && preempt_for(job, slot, true, now)) continue;
+      if (room == 0 && preempt_for(job, slot, false, now)) continue;
+    }
+    if (room == 0) {
+      full.insert(slot.zone);
       continue;
     }
     start(*m, task, job, slot, now);
@@ -543,7 +554,7 @@
 }
 
 // Makes room for one task of higher priority by stopping the work that loses least.
-void Part::preempt_for(const PartJob& job, Slot& slot, Instant now) {
+bool Part::preempt_for(const PartJob& job, Slot& slot, bool warm, Instant now) {
   auto shape = shape_of(*job.record.spec, 1);
   Machine* best = nullptr;
   std::vector<TaskOn*> best_victims;
@@ -551,6 +562,7 @@
   for (auto& [name, m] : machines_) {
     if (!m.usable(now) || !allowed(shape, m.type, m.zone, m.spot) || (slot.zone && *slot.zone != m.zone))
       continue;
+    if (warm && !m.images.has(shape.image)) continue;
     std::vector<TaskOn*> lower;
     Resources idle = m.total - m.used();
     for (auto& [key, t] : m.tasks) {
@@ -582,10 +594,12 @@
       best_victims = std::move(victims);
     }
   }
-  if (!best) return;
+  if (!best) return false;
   for (auto* t : best_victims) stop(*t, t->spec->checkpoint_s > 0 ? t->spec->save_s : 0);
   slot.preempt = false;
+  slot.target = best->name;
   slot.since = now;
+  return true;
 }
 
 void Part::give_back(Instant now) {
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -103,6 +103,8 @@
     MachineName machine;
     Attempt attempt;
     Instant since{};
+    // Where room is being made for it: it waits for that machine for a report period.
+    std::optional<MachineName> target;
   };
   struct PartJob {
     store::JobRecord record;
@@ -130,7 +132,8 @@
   void place_all(Instant now);
   void place_job(const JobId& id, PartJob& job, Instant now);
   void start(Machine& m, const TaskId& id, const PartJob& job, Slot& slot, Instant now);
-  void preempt_for(const PartJob& job, Slot& slot, Instant now);
+  // False: there is no such machine. `warm`: only where the image is.
+  bool preempt_for(const PartJob& job, Slot& slot, bool warm, Instant now);
   void give_back(Instant now);
   void stop_strays(Instant now, Instant word);
   store::Progress progress_of(const PartJob& job) const;
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -66,6 +66,8 @@
   warm @2 :UInt32;
   # Further room if work of lower priority were stopped.
   preemptible @3 :UInt32;
+  # Of the preemptible, on machines that hold the image already.
+  warmPreemptible @4 :UInt32;
 }
 
 struct Answer {
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -85,7 +85,8 @@
       for (auto s : r.getRooms()) {
         ShapeRoom room;
         for (auto z : s.getZones())
-          room.push_back({Zone(text(z.getZone())), z.getFree(), z.getWarm(), z.getPreemptible()});
+          room.push_back({Zone(text(z.getZone())), z.getFree(), z.getWarm(), z.getPreemptible(),
+                          z.getWarmPreemptible()});
         a.rooms.push_back(std::move(room));
       }
       return a;
@@ -147,6 +148,7 @@
                        zones[k].setFree(a.rooms[i][k].free);
                        zones[k].setWarm(a.rooms[i][k].warm);
                        zones[k].setPreemptible(a.rooms[i][k].preemptible);
+                       zones[k].setWarmPreemptible(a.rooms[i][k].warm_preemptible);
                      }
                    }
                  },
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -47,6 +47,7 @@
   std::uint32_t free = 0;
   std::uint32_t warm = 0;
   std::uint32_t preemptible = 0;
+  std::uint32_t warm_preemptible = 0;
   bool operator==(const ZoneRoom&) const = default;
 };
 using ShapeRoom = std::vector<ZoneRoom>;
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -134,7 +134,7 @@
 
 wire::ShapeRoom room(std::uint32_t free, std::uint32_t warm = 0, std::uint32_t pre = 0,
                      const char* zone = "a") {
-  return {{Zone(zone), free, warm, pre}};
+  return {{Zone(zone), free, warm, pre, warm_pre}};
 }
 
 TEST(Lead, SplitsByTheAnswers) {
@@ -236,6 +236,24 @@
   EXPECT_TRUE(g[0].grants.chunks[1].preempt);
 }
 
+// A fetch takes longer than stopping a task of lower priority: services go where their image is.
+TEST(Lead, AServicePrefersForceWhereTheImageIsToColdRoom) {
+  struct Case {
+    JobKind kind;
+    std::uint32_t warm_pre;
+    bool forced;
+  };
+  for (const auto& c : {Case{JobKind::kService, 3, true}, Case{JobKind::kService, 0, false},
+                        Case{JobKind::kArray, 3, false}}) {
+    Bench b;
+    b.job("run-1", 1, [&](auto& s) { s.kind = c.kind, s.priority = Priority::kHigh; });
+    auto g = b.round(1, {{0, room(9)}, {1, room(0, 0, c.warm_pre, c.warm_pre)}});
+    ASSERT_EQ(g.size(), 1u);
+    EXPECT_EQ(g[0].grants.chunks.at(0).preempt, c.forced);
+    EXPECT_EQ(g[0].grants.chunks.at(0).part, PartId(c.forced ? 1 : 0));
+  }
+}
+
 TEST(Lead, AJobIsFinishedWhenAllItsTasksAreDone) {
   Bench b;
   auto& j = b.job("run-1", 4);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -140,7 +140,7 @@
       Heartbeat{Revision(5), {{PartId(1), Term(9)}}, 11, 12, true},
       Nudge{Revision(8)},
       Ask{4, {shape, Shape{}}},
-      Answer{4, PartId(2), Term(3), Revision(6), {{{Zone("a"), 1, 2, 3}}, {}}},
+      Answer{4, PartId(2), Term(3), Revision(6), {{{Zone("a"), 1, 2, 3, 4}}, {}}},
       summary,
       Release{{MachineName("x"), MachineName("y")}},
       Gone{{MachineName("z")}},
