--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t kWindow = 2000;
 constexpr Duration kMinGap = std::chrono::milliseconds(20);
 constexpr double kSlack = 1e-6;
+// What is left of a task that is out, on average.
+constexpr double kUnderWay = 0.5;
 
 std::uint32_t up(double x) {
   return x <= 0 ? 0 : static_cast<std::uint32_t>(std::ceil(x - kSlack));
@@ -25,15 +27,18 @@
            std::vector<config::Objective> objectives)
     : params_(params), teams_(std::move(teams)), objectives_(std::move(objectives)) {}
 
-std::int64_t Lead::due(const wire::JobSpec& spec, WallMs submitted) const {
-  double s = 3600;
-  if (spec.deadline_s) {
-    s = *spec.deadline_s;
-  } else {
-    for (const auto& o : objectives_)
-      if (o.job_class == spec.job_class && o.within_s > 0) s = std::min(s, o.within_s);
+// The times that the objectives and the job itself set, from its submission.
+std::vector<std::int64_t> Lead::due(const wire::JobSpec& spec, WallMs submitted) const {
+  std::set<double> times;
+  for (const auto& o : objectives_) {
+    if (o.job_class != spec.job_class) continue;
+    if (o.kind == "deadline" && spec.deadline_s) times.insert(*spec.deadline_s * o.times);
+    if (o.kind == "finished" && o.within_s > 0) times.insert(o.within_s);
   }
-  return submitted.value() + static_cast<std::int64_t>(s * 1000);
+  if (times.empty() && spec.deadline_s) times.insert(*spec.deadline_s);
+  std::vector<std::int64_t> out;
+  for (double t : times) out.push_back(submitted.value() + static_cast<std::int64_t>(t * 1000));
+  return out;
 }
 
 void Lead::ledger(const Entry& e, int sign) {
@@ -45,8 +50,7 @@
   return it == usage_.end() ? Resources{} : it->second;
 }
 
-void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now,
-                  WallMs) {
+void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now) {
   auto it = jobs_.find(id);
   if (it != jobs_.end()) ledger(it->second, -1);
   if (!job || !job->record.spec) {
@@ -101,24 +105,45 @@
   std::erase_if(sent_[a.part], [&](const Sent& s) { return s.revision <= a.seen; });
 }
 
-std::vector<JobId> Lead::order(Instant) const {
+std::vector<JobId> Lead::order(WallMs wall) const {
+  std::vector<TimedJob> timed;
+  double cpus = 0;
+  for (const auto& [id, e] : jobs_) {
+    const auto& spec = *e.record.spec;
+    if (e.end || spec.kind == JobKind::kService) continue;
+    cpus += spec.each.cpus * e.outstanding;
+    if (e.pending.empty()) continue;
+    TimedJob t{id,
+               spec.each.cpus * spec.estimate_s * (e.pending.count() + kUnderWay * e.outstanding),
+               spec.estimate_s,
+               {}};
+    for (auto due : e.due_ms) t.due.push_back(static_cast<double>(due - wall.value()) / 1000);
+    timed.push_back(std::move(t));
+  }
+  // When work waits, what is out is what the machines can hold.
+  auto tiers = plan_tiers(std::move(timed), cpus);
   std::vector<QueuedJob> waiting;
   for (const auto& [id, e] : jobs_) {
     if (e.pending.empty() || e.end || e.record.spec->kind == JobKind::kGang) continue;
     auto n = std::min(e.pending.count(), allowed_by_quota(e, usage_));
     if (n == 0) continue;
-    waiting.push_back({id, e.record.spec->team, e.record.spec->priority, e.due_ms,
-                       e.record.spec->each * static_cast<double>(n)});
+    QueuedJob q{id, e.record.spec->team,        e.record.spec->priority,
+                0,  e.record.submitted.value(), e.record.spec->each * static_cast<double>(n)};
+    if (auto t = tiers.find(id); t != tiers.end() && !e.due_ms.empty()) {
+      q.tier = t->second.tier;
+      q.due_ms = e.due_ms[std::min<std::size_t>(static_cast<std::size_t>(q.tier), e.due_ms.size() - 1)];
+    }
+    waiting.push_back(std::move(q));
   }
   return serve_order(std::move(waiting), teams_, usage_);
 }
 
-std::optional<wire::Ask> Lead::begin_round(Instant now, const std::set<PartId>& reachable) {
+std::optional<wire::Ask> Lead::begin_round(Instant now, WallMs wall, const std::set<PartId>& reachable) {
   if (round_) return std::nullopt;
   // Between rounds for work that didn't fit a report period passes, unless something new came.
   if (now - last_round_ < (urgent_ ? kMinGap : params_.report_period / 2)) return std::nullopt;
   Round r;
-  for (const auto& id : order(now)) {
+  for (const auto& id : order(wall)) {
     auto shape = part::shape_of(*jobs_.at(id).record.spec, 0);
     auto it = std::find(r.shapes.begin(), r.shapes.end(), shape);
     if (it == r.shapes.end()) {
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -35,14 +35,13 @@
   Lead(LeadParams params, std::vector<config::TeamSettings> teams, std::vector<config::Objective> objectives);
 
   // ---- What happens
-  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now,
-              WallMs wall);
+  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
   void on_summary(const wire::Summary& s, Instant now);
   void on_answer(const wire::Answer& a, Instant now);
 
   // ---- Rounds
   // Starts one if there is something to grant and its time has come. `reachable`: parts worth waiting for.
-  std::optional<wire::Ask> begin_round(Instant now, const std::set<PartId>& reachable);
+  std::optional<wire::Ask> begin_round(Instant now, WallMs wall, const std::set<PartId>& reachable);
   struct Grant {
     JobId job;
     store::Grants grants;
@@ -75,7 +74,7 @@
     Ranges done;
     std::vector<std::pair<Ranges, store::Chunk>> live;  // chunks less what was done or returned
     std::uint32_t outstanding = 0;
-    std::int64_t due_ms = 0;
+    std::vector<std::int64_t> due_ms;  // when it should be complete, the first time first
     bool granted_once = false;
     Instant waiting_since{};
   };
@@ -95,9 +94,9 @@
   };
 
   std::uint32_t allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const;
-  std::vector<JobId> order(Instant now) const;
+  std::vector<JobId> order(WallMs wall) const;
   void ledger(const Entry& e, int sign);
-  std::int64_t due(const wire::JobSpec& spec, WallMs submitted) const;
+  std::vector<std::int64_t> due(const wire::JobSpec& spec, WallMs submitted) const;
 
   LeadParams params_;
   std::vector<config::TeamSettings> teams_;
--- a/src/lead/queue.cpp
+++ b/src/lead/queue.cpp
@@ -9,6 +9,7 @@
                                std::map<Team, Resources> usage) {
   std::sort(jobs.begin(), jobs.end(), [](const QueuedJob& a, const QueuedJob& b) {
     if (a.priority != b.priority) return a.priority > b.priority;
+    if (a.tier != b.tier) return a.tier < b.tier;
     if (a.due_ms != b.due_ms) return a.due_ms < b.due_ms;
     return a.id < b.id;
   });
@@ -52,4 +53,42 @@
   return out;
 }
 
+std::map<JobId, Tier> plan_tiers(std::vector<TimedJob> jobs, double cpus) {
+  std::map<JobId, Tier> out;
+  cpus = std::max(cpus, 1.0);
+  double begun = 0;  // work of the tiers before this one
+  for (std::size_t tier = 0; !jobs.empty(); ++tier) {
+    std::vector<TimedJob> timed, late;
+    for (auto& j : jobs) {
+      if (tier >= j.due.size()) {
+        out[j.id] = {static_cast<int>(j.due.size()), j.due.empty() ? 0 : j.due.back()};
+      } else if (j.least_s > j.due[tier]) {
+        late.push_back(std::move(j));
+      } else {
+        timed.push_back(std::move(j));
+      }
+    }
+    std::sort(timed.begin(), timed.end(), [&](const auto& a, const auto& b) {
+      return a.due[tier] != b.due[tier] ? a.due[tier] < b.due[tier] : a.id < b.id;
+    });
+    std::vector<TimedJob> kept;
+    double work = begun;
+    for (auto& j : timed) {
+      work += j.work;
+      double due = j.due[tier];
+      kept.push_back(std::move(j));
+      if (work / cpus <= due) continue;
+      auto largest = std::max_element(kept.begin(), kept.end(),
+                                      [](const auto& a, const auto& b) { return a.work < b.work; });
+      work -= largest->work;
+      late.push_back(std::move(*largest));
+      kept.erase(largest);
+    }
+    for (const auto& j : kept) out[j.id] = {static_cast<int>(tier), j.due[tier]};
+    begun = work;
+    jobs = std::move(late);
+  }
+  return out;
+}
+
 }  // namespace beaconsill::lead
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -52,8 +52,7 @@
       "t" + std::to_string(term.value()) + "-");
   capacity_->set_catalogue(ctx_.catalogue);
   for (const auto& [part, s] : summaries_) lead_->on_summary(s, ctx_.now());
-  for (const auto& [id, job] : ctx_.view().jobs())
-    lead_->on_job(id, &job, ctx_.view().end(id), ctx_.now(), ctx_.clock.wall());
+  for (const auto& [id, job] : ctx_.view().jobs()) lead_->on_job(id, &job, ctx_.view().end(id), ctx_.now());
   list_machines();
   kick();
 }
@@ -82,8 +81,7 @@
 
 void LeaderDuty::on_view(const store::View::Touched& t) {
   if (!lead_) return;
-  for (const auto& id : t.jobs)
-    lead_->on_job(id, ctx_.view().job(id), ctx_.view().end(id), ctx_.now(), ctx_.clock.wall());
+  for (const auto& id : t.jobs) lead_->on_job(id, ctx_.view().job(id), ctx_.view().end(id), ctx_.now());
   if (!t.jobs.empty()) kick();
 }
 
@@ -125,7 +123,7 @@
   std::set<PartId> reachable;
   for (const auto& [part, term] : all)
     if (peers_.reachable(ctx_.view().part_role(part).value.node)) reachable.insert(part);
-  if (auto ask = lead_->begin_round(now, reachable)) {
+  if (auto ask = lead_->begin_round(now, ctx_.clock.wall(), reachable)) {
     peers_.broadcast(*ask);
     workers_.on_ask(*ask, [this](wire::Answer a) { lead_->on_answer(a, ctx_.now()); });
   }
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -51,7 +51,7 @@
     std::vector<const char*> order;
   };
   auto job = [](const char* id, const char* t, Priority p, std::int64_t due, double cpus) {
-    return QueuedJob{JobId(id), Team(t), p, due, {cpus, 0, 0}};
+    return QueuedJob{JobId(id), Team(t), p, 0, due, {cpus, 0, 0}};
   };
   const Case cases[] = {
       {"priority",
@@ -79,6 +79,33 @@
   }
 }
 
+TEST(Queue, PutsTheLargestOffWhenNotAllCanBeInTime) {
+  struct Case {
+    const char* what;
+    std::vector<TimedJob> jobs;
+    std::vector<int> tiers;
+  };
+  auto job = [](const char* id, double work, std::vector<double> due, double least = 1) {
+    return TimedJob{JobId(id), work, least, std::move(due)};
+  };
+  const Case cases[] = {
+      {"all in time", {job("a", 50, {10, 20}), job("b", 50, {10, 20})}, {0, 0}},
+      {"one too many: the large one waits",
+       {job("a", 90, {10, 20}), job("b", 20, {10, 20}), job("c", 20, {10, 20})},
+       {1, 0, 0}},
+      {"too late for the first, not for the second", {job("a", 10, {-1, 5}), job("b", 10, {10, 20})}, {1, 0}},
+      {"no time that it could keep", {job("a", 10, {-9, -1}), job("b", 10, {})}, {2, 0}},
+      {"its tasks alone take too long", {job("a", 10, {10, 20}, 15)}, {1}},
+      {"nothing kept by the second time either", {job("a", 100, {10}), job("b", 500, {10, 20})}, {0, 2}},
+  };
+  for (const auto& c : cases) {
+    auto tiers = plan_tiers(c.jobs, 10);
+    std::vector<int> got;
+    for (const auto& j : c.jobs) got.push_back(tiers.at(j.id).tier);
+    EXPECT_EQ(got, c.tiers) << c.what;
+  }
+}
+
 // A leader whose parts answer what the test says.
 struct Bench {
   explicit Bench(double cpus_max = 0)
@@ -99,12 +126,12 @@
     return j;
   }
   void show(const char* id, double t, std::optional<End> end = std::nullopt) {
-    lead.on_job(JobId(id), &jobs[id], end, at(t), WallMs(0));
+    lead.on_job(JobId(id), &jobs[id], end, at(t));
   }
   // One round in which part p answers rooms[p] for every shape; parts without an entry stay silent.
   std::vector<Lead::Grant> round(double t, std::map<std::uint32_t, wire::ShapeRoom> rooms,
                                  bool wait = false) {
-    auto ask = lead.begin_round(at(t), {PartId(0), PartId(1)});
+    auto ask = lead.begin_round(at(t), WallMs(0), {PartId(0), PartId(1)});
     if (!ask) return {};
     for (auto& [p, room] : rooms)
       lead.on_answer(
