--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -280,7 +280,14 @@
     };
     bool by_force_where_warm =
         spec.kind == JobKind::kService && sum(warm) < want && sum(warm) + sum(warm_preemptible) >= want;
-    auto shares = split(want, by_force_where_warm || sum(warm) >= want ? warm : free);
+    auto shares = split(want, warm);
+    if (auto placed = count(shares); placed < want && !by_force_where_warm) {
+      std::vector<Room> cold = free;
+      for (auto& x : cold)
+        for (const auto& w : warm)
+          if (w.part == x.part && w.zone == x.zone) x.room -= std::min(x.room, w.room);
+      for (auto& x : split(want - placed, cold)) shares.push_back(std::move(x));
+    }
     std::vector<Share> by_force;
     if (auto placed = count(shares); placed < want)
       by_force = split(want - placed, by_force_where_warm ? warm_preemptible : preemptible);
@@ -336,6 +343,13 @@
   return out;
 }
 
+std::optional<Duration> Lead::late(const JobId& id, WallMs wall) const {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.due_ms.empty() || wall.value() <= it->second.due_ms[0])
+    return std::nullopt;
+  return std::chrono::milliseconds(wall.value() - it->second.due_ms[0]);
+}
+
 std::vector<JobId> Lead::drained() const {
   std::vector<JobId> out;
   for (const auto& [id, e] : jobs_)
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -56,6 +56,8 @@
   // ---- Outcomes
   // Jobs all of whose tasks are done, to be recorded as such.
   std::vector<JobId> finished() const;
+  // By how much the job has missed the first of its times.
+  std::optional<Duration> late(const JobId& id, WallMs wall) const;
   // Jobs that are over and none of whose tasks can be anywhere: their keys can be dropped.
   std::vector<JobId> drained() const;
 
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -165,6 +165,9 @@
                         store::to_json(store::Ending{store::End::kDone, job->record.spec->tasks}),
                         std::nullopt});
     ids.push_back(id);
+    if (auto late = lead_->late(id, ctx_.clock.wall()))
+      spdlog::info("{} ({}, {} tasks) is done, {:.1f} s late", id.value(), job->record.spec->job_class,
+                   job->record.spec->tasks, to_seconds(*late));
   }
   if (ids.empty()) return;
   t.conditions.push_back(*leader);
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -202,7 +202,11 @@
   t.state = r.state;
   t.cause = r.cause;
   t.saved = r.saved;
-  if (r.state == TaskState::kRunning && !t.running_since) t.running_since = now;
+  if (r.state == TaskState::kRunning && !t.running_since) {
+    t.running_since = now;
+    spdlog::debug("{}: {} runs, {:.2f} s after it was placed", m.name.value(), wire::task_name(key.first),
+                  to_seconds(now - t.since));
+  }
   if (t.spec && (r.state == TaskState::kRunning || r.state == TaskState::kWaiting))
     m.images.use(t.spec->image, t.spec->image_gb, now);
   if (live(t)) {
