--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -6,8 +6,8 @@
 
 namespace beaconsill::node {
 namespace {
-constexpr std::uint32_t kHoldMs = 4000;
-constexpr Duration kBeat = std::chrono::milliseconds(1000);
+constexpr std::uint32_t kHoldMs = 2000;
+constexpr Duration kBeat = std::chrono::milliseconds(500);
 constexpr Duration kCheck = std::chrono::milliseconds(200);
 // Each candidate waits this much longer than the one before it, so that one claims and the others see it.
 constexpr Duration kRankDelay = std::chrono::milliseconds(1200);
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -160,7 +160,7 @@
 };
 
 wire::ShapeRoom room(std::uint32_t free, std::uint32_t warm = 0, std::uint32_t pre = 0,
-                     const char* zone = "a") {
+                     std::uint32_t warm_pre = 0, const char* zone = "a") {
   return {{Zone(zone), free, warm, pre, warm_pre}};
 }
 
@@ -177,6 +177,11 @@
   b.job("run-1", 2);
   auto g = b.round(1, {{0, room(50, 0)}, {1, room(5, 3)}});
   EXPECT_EQ(Bench::by_part(g.at(0)), (std::map<std::uint32_t, std::uint32_t>{{1, 2}}));
+  // What the warm room doesn't hold goes to the cold.
+  Bench c;
+  c.job("run-1", 8);
+  g = c.round(1, {{0, room(50, 0)}, {1, room(5, 3)}});
+  EXPECT_EQ(Bench::by_part(g.at(0)), (std::map<std::uint32_t, std::uint32_t>{{0, 5}, {1, 3}}));
 }
 
 TEST(Lead, WaitsForASilentPartThenUsesItsSummary) {
