An owner goes on until its handing back is applied

Kept, with a test; it's also simpler, since an owner that hands back is like any owner that is replaced.

--- a/src/config/policy.cpp
+++ b/src/config/policy.cpp
@@ -36,6 +36,9 @@
        [](Policy& p, double v) { p.grace = from_seconds(v); }},
       {"idle_return", ExprType::kDuration, "120s", 1, 86400, "idle time after which a machine is returned",
        [](Policy& p, double v) { p.idle_return = from_seconds(v); }},
+      {"home_delay", ExprType::kDuration, "15s", 0, 86400,
+       "how long a part's home node is well before it gets it back",
+       [](Policy& p, double v) { p.home_delay = from_seconds(v); }},
   };
   return kSpecs;
 }
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -11,8 +11,6 @@
 constexpr Duration kCheck = std::chrono::milliseconds(200);
 // Each candidate waits this much longer than the one before it, so that one claims and the others see it.
 constexpr Duration kRankDelay = std::chrono::milliseconds(1200);
-// A part goes home once its home has been alive for this long.
-constexpr Duration kHomeDelay = std::chrono::seconds(15);
 }  // namespace
 
 RolesDuty::RolesDuty(Context& ctx, Hooks hooks)
@@ -128,7 +126,7 @@
       s.home_since.reset();
     } else if (!s.home_since) {
       s.home_since = now;
-    } else if (now - *s.home_since > kHomeDelay) {
+    } else if (now - *s.home_since > ctx_.policy.home_delay) {
       s.home_since.reset();
       hand_back(s, role, *part);
     }
@@ -177,17 +175,16 @@
 void RolesDuty::hand_back(RoleState& s, const store::Versioned<store::Role>& role, PartId part) {
   const auto& home = ctx_.parting.home(part);
   spdlog::info("{} goes home to {}", s.key, home.value());
-  // From here on this node acts for the part no more, whether or not the change is applied; if it isn't, the
-  // role is claimed anew under a higher term.
-  Term term(s.held->value() + 1);
-  lose(s, part);
-  s.claiming = true;
+  // This node goes on as the owner until it sees that the change was applied, as any owner does that is
+  // replaced. If it stopped here and the state service did not answer, the leases of all the part's workers
+  // would run out.
   wire::Txn t;
   t.conditions = {{s.key, role.version}};
-  t.writes = {{s.key, store::to_json(store::Role{home, term}), std::nullopt}};
+  t.writes = {{s.key, store::to_json(store::Role{home, Term(s.held->value() + 1)}), std::nullopt}};
+  s.claiming = true;
   ctx_.store->txn(t, store::Urgency::kRole, [this, &s, t](store::TxnResult r) {
+    s.claiming = false;
     if (r.outcome == store::Outcome::kOk) ctx_.mirror->apply_own(t, r.revision);
-    ctx_.mirror->sync([&s](bool) { s.claiming = false; });
   });
 }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -64,7 +64,7 @@
     s.cpu_share = 1;
     s.memory_mb = 64;
     s.max_connections = 200;
-    auto policy = config::load_policy("", s);
+    auto policy = config::parse_policy("home_delay = 500ms", "test", s);
     nodes[i] = std::make_unique<node::Node>(io, clock, s, policy);
     nodes[i]->start();
   }
@@ -192,6 +192,31 @@
   w.state.down = false;
 }
 
+// Found on a day when the state service failed just as a part was going home: its owner had stopped answering
+// before the change was applied, and all leases ran out.
+TEST(EndToEnd, APartThatCannotGoHomeIsStillAnswered) {
+  World w;
+  w.healthy();
+  w.run_until([&] { return w.state.hold_of("beaconsill/alive/n0").has_value(); }, "n0 is alive");
+  w.nodes[0]->stop();
+  w.nodes[0].reset();
+  w.state.expire(*w.state.hold_of("beaconsill/alive/n0"));
+  auto owner = [&](const char* part) {
+    auto it = w.state.keys.find(std::string("beaconsill/roles/part/") + part);
+    return it == w.state.keys.end() ? std::string() : it->second.first["node"].get<std::string>();
+  };
+  w.run_until([&] { return owner("0") == "n1"; }, "n1 owns both parts");
+  w.start(0);
+  w.run_until([&] { return w.state.hold_of("beaconsill/alive/n0").has_value(); }, "n0 is back");
+  w.state.down = true;
+  w.io.run_for(std::chrono::milliseconds(800));
+  auto before = w.workers[0]->answered;
+  w.run_until([&] { return w.workers[0]->answered > before + 10; },
+              "its worker is answered during the outage");
+  w.state.down = false;
+  w.run_until([&] { return owner("0") == "n0"; }, "the part goes home");
+}
+
 TEST(EndToEnd, ASuccessorTakesOverWithoutRestartingWhatRuns) {
   World w;
   w.healthy();
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -164,6 +164,7 @@
   std::set<std::string> services;  // job ids that never complete
   int run_reports = 3;
   int started = 0;
+  int answered = 0;  // reports that were answered by an owner
   std::uint64_t token = 0;
   std::shared_ptr<HttpServer> server;
 
@@ -217,6 +218,7 @@
       if (stopped_) return;
       if (r.status == 200) {
         auto helm = Json::parse(r.body)["helm"].get<std::uint64_t>();
+        if (helm >= token) ++answered;
         token = std::max(token, helm);
       } else {
         std::size_t next = (at_ + 1) % controllers_.size();
