--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -48,7 +48,8 @@
                                                 [this](const store::View::Touched& t) { on_view(t); });
   ctx_.cloud = std::make_shared<cloud::CloudClient>(io, clock, cloud,
                                                     s.cloud_rps / static_cast<double>(s.controllers()));
-  peers_ = std::make_unique<PeersDuty>(ctx_, [this](const wire::PeerMessage& m) { on_peer(m); });
+  peers_ = std::make_unique<PeersDuty>(
+      ctx_, [this](const wire::PeerMessage& m) { on_peer(m); }, [this] { return workers_->owned(); });
   workers_ = std::make_unique<WorkersDuty>(ctx_, *peers_);
   leader_ = std::make_unique<LeaderDuty>(ctx_, *peers_, *workers_);
   roles_ = std::make_unique<RolesDuty>(ctx_, RolesDuty::Hooks{
@@ -120,7 +121,9 @@
 }
 
 void Node::on_peer(const wire::PeerMessage& m) {
-  if (const auto* nudge = std::get_if<wire::Nudge>(&m.body)) {
+  if (const auto* heartbeat = std::get_if<wire::Heartbeat>(&m.body)) {
+    workers_->on_terms(heartbeat->terms);
+  } else if (const auto* nudge = std::get_if<wire::Nudge>(&m.body)) {
     ctx_.mirror->nudge(nudge->revision);
   } else if (const auto* ask = std::get_if<wire::Ask>(&m.body)) {
     workers_->on_ask(*ask, [&](wire::Answer a) { peers_->send(m.from, std::move(a)); });
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -10,9 +10,10 @@
 constexpr std::size_t kMaxSent = 32;
 }  // namespace
 
-PeersDuty::PeersDuty(Context& ctx, Handler handler)
+PeersDuty::PeersDuty(Context& ctx, Handler handler, std::function<std::vector<wire::PartTerm>()> owned)
     : ctx_(ctx),
       handler_(std::move(handler)),
+      owned_(std::move(owned)),
       beat_(ctx.io, [this] { beat(); }),
       // Numbers of an earlier process of this node must not be taken for this one's.
       sequence_(static_cast<std::uint64_t>(ctx.clock.wall().value()) << 16) {
@@ -40,6 +41,7 @@
   wire::Heartbeat h;
   // An earlier process of this node may have told more than this one knows, until it has read everything.
   h.told = ctx_.mirror->ready() ? told_ : Revision(UINT64_MAX);
+  h.terms = owned_();
   h.state_ok = ctx_.mirror->ready() && now - ctx_.mirror->word() < std::chrono::milliseconds(1200);
   for (auto& [name, p] : peers_) {
     h.sequence = ++sequence_;
@@ -63,6 +65,11 @@
   }
   const auto* h = std::get_if<wire::Heartbeat>(&m->body);
   if (!h) return handler_(*m);
+  for (const auto& t : h->terms) {
+    auto& known = owners_[t.part];
+    if (t.term > known.term) known = {m->from, t.term};
+  }
+  if (!h->terms.empty()) handler_(*m);
   auto& p = it->second;
   p.last_sequence = h->sequence;
   for (auto s = p.sent.begin(); s != p.sent.end(); ++s) {
@@ -102,6 +109,12 @@
   return w;
 }
 
+std::optional<PeersDuty::Owner> PeersDuty::owner(PartId part) const {
+  auto it = owners_.find(part);
+  if (it == owners_.end()) return std::nullopt;
+  return it->second;
+}
+
 bool PeersDuty::state_answers_others() const {
   for (const auto& [name, p] : peers_)
     if (reachable(name) && p.state_ok) return true;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -14,8 +14,9 @@
 class PeersDuty {
  public:
   using Handler = std::function<void(const wire::PeerMessage&)>;
-  // `handler` gets everything but heartbeats.
-  PeersDuty(Context& ctx, Handler handler);
+  // `handler` gets everything but heartbeats that name no part.
+  // `owned`: the parts that this node owns, for its heartbeats.
+  PeersDuty(Context& ctx, Handler handler, std::function<std::vector<wire::PartTerm>()> owned);
   void start();
   void stop();
 
@@ -27,6 +28,12 @@
   void told(Revision r) { told_ = std::max(told_, r); }
   // All cancellations told to users before this time are known here, by the word of every other node.
   Instant word() const;
+  // The owner under the highest term that any peer has claimed for the part.
+  struct Owner {
+    NodeName node;
+    Term term;
+  };
+  std::optional<Owner> owner(PartId part) const;
   // Some peer that is heard says that the state service answers it.
   bool state_answers_others() const;
 
@@ -44,11 +51,13 @@
 
   Context& ctx_;
   Handler handler_;
+  std::function<std::vector<wire::PartTerm>()> owned_;
   Repeater beat_;
   std::map<NodeName, Peer> peers_;
   std::shared_ptr<net::PeerReceiver> receiver_;
   std::uint64_t sequence_;
   Revision told_;
+  std::map<PartId, Owner> owners_;
 };
 
 }  // namespace beaconsill::node
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -78,13 +78,7 @@
   }
   auto id = ctx_.parting.of(report.zone, report.machine);
   auto it = parts_.find(id);
-  if (it == parts_.end()) {
-    const auto& role = ctx_.view().part_role(id);
-    std::optional<NodeName> owner;
-    if (role.exists() && role.value.node != ctx_.settings.node && ctx_.view().alive(role.value.node))
-      owner = role.value.node;
-    return reply({421, wire::render_redirect(owner)});
-  }
+  if (it == parts_.end()) return redirect(id, reply);
   auto& part = *it->second.part;
   // Without word of cancellations for this long, the leases of tasks that may be cancelled have to run out.
   auto limit = from_seconds(ctx_.settings.cancel_s - ctx_.settings.lease_s - kCancelMargin_s);
@@ -92,7 +86,7 @@
   part.on_report(report, ctx_.now());
   if (part.superseded()) {
     ctx_.mirror->sync([](bool) {});
-    return reply({503, wire::render_error("superseded"), 1});
+    return redirect(id, reply);
   }
   // A stale report is answered as well: its worker is there, and commands may have overtaken it.
   if (!part.machines().contains(report.machine))
@@ -101,6 +95,29 @@
   kick();
 }
 
+// To the owner of the highest term that the state service or a peer has told of, if it's there.
+void WorkersDuty::redirect(PartId id, const net::HttpServer::Reply& reply) const {
+  const auto& role = ctx_.view().part_role(id);
+  std::optional<NodeName> owner;
+  if (role.exists() && ctx_.view().alive(role.value.node)) owner = role.value.node;
+  if (auto told = peers_.owner(id); told && told->term > role.value.term && peers_.reachable(told->node))
+    owner = told->node;
+  if (owner == ctx_.settings.node) owner.reset();
+  reply({421, wire::render_redirect(owner)});
+}
+
+void WorkersDuty::on_terms(const std::vector<wire::PartTerm>& terms) {
+  for (const auto& t : terms)
+    if (auto it = parts_.find(t.part); it != parts_.end()) it->second.part->supersede(t.term);
+}
+
+std::vector<wire::PartTerm> WorkersDuty::owned() const {
+  std::vector<wire::PartTerm> out;
+  for (const auto& [id, o] : parts_)
+    if (!o.part->superseded()) out.push_back({id, o.part->term()});
+  return out;
+}
+
 void WorkersDuty::on_view(const store::View::Touched& t) {
   for (auto& [id, o] : parts_) {
     if (t.machines.contains(id)) load_registry(id, *o.part);
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -19,6 +19,9 @@
 
   void own(PartId part, Term term);
   void disown(PartId part);
+  // Peers told of owners: those of a higher term end this node's acting, also when the state service can't.
+  void on_terms(const std::vector<wire::PartTerm>& terms);
+  std::vector<wire::PartTerm> owned() const;
   bool owns(PartId part) const { return parts_.contains(part); }
 
   void on_report(const net::Request& r, const net::HttpServer::Reply& reply);
@@ -51,6 +54,7 @@
   void load_registry(PartId part, part::Part& p);
   // All cancellations before this time are known.
   Instant word() const;
+  void redirect(PartId part, const net::HttpServer::Reply& reply) const;
   // The part if it's still owned under this term.
   Owned* find(PartId part, Term term);
 
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -139,6 +139,10 @@
   return m.token;
 }
 
+void Part::supersede(Term t) {
+  if (t > term_) superseded_ = true;
+}
+
 bool Part::on_report(const wire::Report& r, Instant now) {
   if (gone_.contains(r.machine)) return false;
   if (r.token.term() > term_) {
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -32,6 +32,8 @@
   const std::map<MachineName, Machine>& machines() const { return machines_; }
   // Some worker has seen a token of a higher term: another owner exists.
   bool superseded() const { return superseded_; }
+  // Word of a higher term came by another way.
+  void supersede(Term t);
   // Every registered machine has been heard under this term or is gone.
   bool rebuilt() const { return rebuilt_; }
 
--- a/src/part/parting.cpp
+++ b/src/part/parting.cpp
@@ -14,10 +14,15 @@
     nodes_.push_back(name);
   }
   std::set<Zone> rest(s.zones.begin(), s.zones.end());
-  std::uint32_t rank = 0;
+  // A zone without a controller goes to the one that has least: controllers of a zone share its machines.
+  std::vector<double> load(parts());
+  for (const auto& [zone, owners] : by_zone_)
+    for (auto p : owners) load[p.value()] = 1.0 / static_cast<double>(owners.size());
   for (const auto& z : rest) {
     if (by_zone_.contains(z)) continue;
-    by_zone_[z].push_back(PartId(rank++ % parts()));
+    auto least = std::min_element(load.begin(), load.end());
+    *least += 1;
+    by_zone_[z].push_back(PartId(static_cast<std::uint32_t>(least - load.begin())));
   }
 }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -36,7 +36,7 @@
     for (auto& w : workers) w->stop();
     for (auto& n : nodes)
       if (n) n->stop();
-    state.server->stop();
+    for (auto& d : state.doors) d->stop();
     cloud.server->stop();
     io.poll();
   }
@@ -49,7 +49,7 @@
     s.peers = {{NodeName("n" + std::to_string(1 - i)), Zone(i ? "east" : "west"),
                 standin::text(ports[2 * (1 - i) + 1])}};
     s.cloud = standin::text(cloud.server->local());
-    s.state = standin::text(state.server->local());
+    s.state = standin::text(state.doors[i]->local());
     s.zones = {Zone("east"), Zone("west")};
     s.teams = {{Team("blue"), 0, 0, 0, 0}};
     s.report_s = 0.2;
@@ -217,6 +217,23 @@
   w.run_until([&] { return owner("0") == "n0"; }, "the part goes home");
 }
 
+// Found on a day when one node lost the state service only: its workers stayed with it, since it kept
+// answering them, and its successor waited for them in vain.
+TEST(EndToEnd, AnOwnerThatOnlyPeersCanReachHandsItsWorkersOver) {
+  World w;
+  w.healthy();
+  for (auto& x : w.workers) x->services.insert("run-7");
+  w.call(0, "POST", "/v1/jobs", World::job("run-7", "daemon", 8));
+  auto started = [&] { return w.workers[0]->started + w.workers[1]->started; };
+  w.run_until([&] { return started() == 8; }, "eight replicas run");
+  w.run_until([&] { return w.state.hold_of("beaconsill/alive/n0").has_value(); }, "n0 is alive");
+  w.state.shut[0] = true;
+  w.state.expire(*w.state.hold_of("beaconsill/alive/n0"));
+  w.run_until([&] { return (w.workers[0]->token >> 20) >= 2; },
+              "the worker of n0 has seen its successor's term");
+  EXPECT_EQ(started(), 8);
+}
+
 TEST(EndToEnd, ASuccessorTakesOverWithoutRestartingWhatRuns) {
   World w;
   w.healthy();
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -39,16 +39,19 @@
 class State {
  public:
   explicit State(asio::io_context& io) : io_(io) {
-    server = std::make_shared<HttpServer>(
-        io, any_port(), net::ServerLimits{}, [](const Request&) { return false; },
-        [this](Request r, HttpServer::Reply reply) {
-          if (down) return reply({503, "{}"});
-          reply(handle(r));
-        });
-    server->start();
+    for (std::size_t i = 0; i < doors.size(); ++i) {
+      doors[i] = std::make_shared<HttpServer>(
+          io, any_port(), net::ServerLimits{}, [](const Request&) { return false; },
+          [this, i](Request r, HttpServer::Reply reply) {
+            if (down || shut[i]) return reply({503, "{}"});
+            reply(handle(r));
+          });
+      doors[i]->start();
+    }
   }
-  bool down = false;
-  std::shared_ptr<HttpServer> server;
+  bool down = false;           // for all
+  std::array<bool, 2> shut{};  // for the node that comes by this door
+  std::array<std::shared_ptr<HttpServer>, 2> doors;
   std::map<std::string, std::pair<Json, std::uint64_t>> keys;
   // Ends a node's hold, as when it isn't renewed in time.
   void expire(std::uint64_t hold) {
