--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -23,8 +23,6 @@
     return zone && part::fits(t.second.total, spec.each) > 0;
   });
   if (!fits) return {Kind::kNever, "fits no allowed machine type"};
-  // Better an answer that makes the user come back than a gang that is accepted and never started.
-  if (spec.kind == JobKind::kGang) return {Kind::kNotYet, "gangs are not served yet"};
   return {};
 }
 
--- a/src/config/policy.cpp
+++ b/src/config/policy.cpp
@@ -34,7 +34,7 @@
       {"grace", ExprType::kDuration, "max(4 * report_period, lease / 2)", 0.5, 600,
        "silence after which a machine is deleted, which proves it gone",
        [](Policy& p, double v) { p.grace = from_seconds(v); }},
-      {"idle_return", ExprType::kDuration, "120s", 1, 86400, "idle time after which a machine is returned",
+      {"idle_return", ExprType::kDuration, "40s", 1, 86400, "idle time after which a machine is returned",
        [](Policy& p, double v) { p.idle_return = from_seconds(v); }},
       {"home_delay", ExprType::kDuration, "15s", 0, 86400,
        "how long a part's home node is well before it gets it back",
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -124,9 +124,11 @@
   auto tiers = plan_tiers(std::move(timed), cpus);
   std::vector<QueuedJob> waiting;
   for (const auto& [id, e] : jobs_) {
-    if (e.pending.empty() || e.end || e.record.spec->kind == JobKind::kGang) continue;
+    if (e.pending.empty() || e.end) continue;
     auto n = std::min(e.pending.count(), allowed_by_quota(e, usage_));
-    if (n == 0) continue;
+    bool gang = e.record.spec->kind == JobKind::kGang;
+    // A gang is granted as a whole, and anew only once nothing of its last attempt is left anywhere.
+    if (n == 0 || (gang && n < e.pending.count())) continue;
     QueuedJob q{id, e.record.spec->team,        e.record.spec->priority,
                 0,  e.record.submitted.value(), e.record.spec->each * static_cast<double>(n)};
     if (auto t = tiers.find(id); t != tiers.end() && !e.due_ms.empty()) {
@@ -180,6 +182,20 @@
   return n <= 0 ? 0 : static_cast<std::uint32_t>(n);
 }
 
+std::vector<Room> Lead::rooms_for_gang(std::uint32_t n, std::vector<Room> rooms) {
+  std::map<PartId, std::uint64_t> by_part;
+  std::uint64_t sum = 0;
+  for (const auto& r : rooms) {
+    by_part[r.part] += r.room;
+    sum += r.room;
+  }
+  if (sum < n) return {};
+  auto roomiest = std::max_element(by_part.begin(), by_part.end(),
+                                   [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (roomiest->second >= n) std::erase_if(rooms, [&](const Room& r) { return r.part != roomiest->first; });
+  return rooms;
+}
+
 std::optional<std::vector<Lead::Grant>> Lead::decide(Instant now, const std::map<PartId, Term>& terms) {
   if (!round_ || round_->writing) return std::nullopt;
   auto& r = *round_;
@@ -201,6 +217,21 @@
     std::uint32_t want = std::min(e.pending.count(), allowed_by_quota(e, usage));
     if (want == 0) continue;
 
+    bool gang = spec.kind == JobKind::kGang;
+    if (gang && want < e.pending.count()) continue;
+    if (gang && e.outstanding > 0) {
+      if (e.grants.recall || now - e.waiting_since < 2 * params_.report_period) continue;
+      Grant g{job->first, {}, e.grants_version};
+      g.grants.last = e.grants.last;
+      g.grants.recall = true;
+      for (const auto& [tasks, chunk] : e.live) {
+        g.grants.chunks.push_back(chunk);
+        g.grants.chunks.back().tasks = tasks;
+      }
+      grants.push_back(std::move(g));
+      continue;
+    }
+
     // The zones that the job's other tasks leave open to it.
     bool zoned = spec.one_zone || spec.spread;
     std::map<Zone, std::uint32_t> in_zone;
@@ -271,6 +302,12 @@
           n += x.room;
         }
     }
+    if (gang) {
+      free = rooms_for_gang(want, std::move(free));
+      warm.clear();
+      preemptible.clear();
+      if (free.empty()) continue;
+    }
     // Room where the image already is goes first: a fetch takes longer than anything else on the way to a
     // start, for a service also longer than stopping work of lower priority where the image is.
     auto count = [](const std::vector<Share>& list) {
@@ -300,11 +337,12 @@
       g.grants.chunks.back().tasks = tasks;
     }
     Ranges pending = e.pending;
+    Attempt attempt(gang ? e.grants.last.value() + 1 : 0);
     auto give = [&](const std::vector<Share>& list, bool force) {
       for (const auto& s : list) {
         g.grants.last = Generation(g.grants.last.value() + 1);
         g.grants.chunks.push_back(
-            {g.grants.last, s.part, terms.at(s.part), pending.take(s.tasks), s.zone, force, {}});
+            {g.grants.last, s.part, terms.at(s.part), pending.take(s.tasks), s.zone, force, attempt});
         taken[s.part] += spec.each.cpus * s.tasks;
         usage[spec.team] += spec.each * static_cast<double>(s.tasks);
       }
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -95,6 +95,8 @@
     bool writing = false;
   };
 
+  // Rooms that hold all `n` tasks of a gang: of one part if one can, else of several; empty if they can't.
+  static std::vector<Room> rooms_for_gang(std::uint32_t n, std::vector<Room> rooms);
   std::uint32_t allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const;
   std::vector<JobId> order(WallMs wall) const;
   void ledger(const Entry& e, int sign);
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -226,6 +226,7 @@
   if (!slot) return;
   if (slot->status == Slot::Status::kHeld || slot->status == Slot::Status::kWaiting) {
     slot->status = Slot::Status::kPlaced;
+    slot->started = true;
     slot->machine = m.name;
     slot->attempt = key.second;
   } else if (slot->status == Slot::Status::kPlaced &&
@@ -328,6 +329,7 @@
   pj.end = end;
   auto recorded = job->progress.find(id_);
   pj.recorded = recorded == job->progress.end() ? store::Progress{} : recorded->second.value;
+  pj.recalled = job->grants.value.recall;
   pj.generations.clear();
   std::set<std::uint32_t> wanted;
   for (const auto& c : job->grants.value.chunks) {
@@ -363,6 +365,7 @@
       if (live(t)) {
         adopt(m, it->first, t, now);
         if (end == store::End::kCancelled) stop(t, 0);
+        if (pj.recalled) stop(t, pj.record.spec->save_s);
       } else if (t.cause == EndCause::kDone) {
         if (auto* slot = find_slot(it->first.first); slot && slot->status != Slot::Status::kReturned)
           slot->status = Slot::Status::kDone;
@@ -416,6 +419,7 @@
   check_rebuilt(now);
   check_leases(now, word);
   check_notices(now);
+  check_gangs(now);
   stop_strays(now, word);
   // Starting a task needs recent word of cancellations, well inside the time that they have.
   if (now - word < params_.cancel_limit / 4) place_all(now);
@@ -450,10 +454,19 @@
           t.spec->estimate_s - to_seconds(now - *t.running_since) < left)
         continue;
       stop(t, t.spec->checkpoint_s > 0 ? t.spec->save_s : 0);
+      if (t.spec->kind == JobKind::kGang) stop_mates(key.first.job, t.spec->save_s);
     }
   }
 }
 
+// A gang saves only if all of its tasks are told to stop within a short time.
+void Part::stop_mates(const JobId& id, double grace) {
+  for (auto& [name, m] : machines_)
+    for (auto it = m.tasks.lower_bound({TaskId{id, 0}, Attempt()});
+         it != m.tasks.end() && it->first.first.job == id; ++it)
+      if (live(it->second)) stop(it->second, grace);
+}
+
 // Tasks on a machine that are not granted to this part, or whose job is over.
 void Part::stop_strays(Instant now, Instant word) {
   for (auto& [name, m] : machines_) {
@@ -503,7 +516,54 @@
   for (auto& [id, job] : waiting) place_job(id, *job, now);
 }
 
+// A gang's share is placed as a whole or not at all, and once under each attempt.
+void Part::place_gang(const JobId& id, PartJob& job, Instant now) {
+  bool ready = !job.recalled && std::all_of(job.slots.begin(), job.slots.end(), [](const auto& s) {
+    return s.second.status == Slot::Status::kWaiting && !s.second.started;
+  });
+  if (!ready) return;
+  auto shape = shape_of(*job.record.spec, 1);
+  std::vector<std::pair<std::uint32_t, Machine*>> placed;
+  for (auto& [n, slot] : job.slots) {
+    auto* m = choose_machine(machines_, shape, slot.zone, params_.rules, id, now);
+    if (!m) break;
+    start(*m, {id, n}, job, slot, now);
+    placed.emplace_back(n, m);
+  }
+  if (placed.size() == job.slots.size()) return;
+  for (auto [n, m] : placed) {
+    auto& slot = job.slots.at(n);
+    m->tasks.erase({TaskId{id, n}, slot.attempt});
+    slot.status = Slot::Status::kWaiting;
+    slot.started = false;
+  }
+}
+
+// A gang that lost a task here starts anew under its next attempt only: what is left of this one is stopped,
+// the others notice by themselves.
+void Part::check_gangs(Instant) {
+  for (auto& [id, job] : jobs_) {
+    if (!job.record.spec || job.record.spec->kind != JobKind::kGang) continue;
+    bool lost = std::any_of(job.slots.begin(), job.slots.end(), [](const auto& s) {
+      return s.second.status == Slot::Status::kWaiting && s.second.started;
+    });
+    if (!lost) continue;
+    for (auto& [n, slot] : job.slots) {
+      if (slot.status != Slot::Status::kPlaced) continue;
+      auto m = machines_.find(slot.machine);
+      if (m == machines_.end()) continue;
+      auto t = m->second.tasks.find({TaskId{id, n}, slot.attempt});
+      if (t == m->second.tasks.end() || t->second.state == TaskState::kSaving) continue;
+      // A running task may yet complete or exit by itself with its mates; one that waits would do so for
+      // long.
+      if (t->second.state == TaskState::kWaiting || t->second.state == TaskState::kFetching)
+        stop(t->second, 0);
+    }
+  }
+}
+
 void Part::place_job(const JobId& id, PartJob& job, Instant now) {
+  if (job.record.spec->kind == JobKind::kGang) return place_gang(id, job, now);
   auto shape = shape_of(*job.record.spec, 1);
   std::set<std::optional<Zone>> full;
   Machine* m = nullptr;
@@ -551,6 +611,7 @@
 
 void Part::start(Machine& m, const TaskId& id, const PartJob& job, Slot& slot, Instant now) {
   slot.status = Slot::Status::kPlaced;
+  slot.started = true;
   slot.machine = m.name;
   if (job.record.spec->kind != JobKind::kGang) slot.attempt = Attempt(next_attempt_++);
   auto& t = m.tasks[{id, slot.attempt}];
@@ -574,7 +635,9 @@
     std::vector<TaskOn*> lower;
     Resources idle = m.total - m.used();
     for (auto& [key, t] : m.tasks) {
-      if (!live(t) || !t.spec || t.spec->priority >= shape.priority) continue;
+      // Gangs are spared: one task less stops them all.
+      if (!live(t) || !t.spec || t.spec->priority >= shape.priority || t.spec->kind == JobKind::kGang)
+        continue;
       if (t.stop_grace) {
         idle += t.spec->each;  // on its way out already
       } else if (t.start == TaskOn::Start::kSettled) {
@@ -614,7 +677,7 @@
   for (auto& [id, job] : jobs_) {
     for (auto& [n, slot] : job.slots) {
       if (slot.status != Slot::Status::kWaiting) continue;
-      if (!job.end && now - slot.since < params_.report_period) continue;
+      if (!job.end && !job.recalled && now - slot.since < params_.report_period) continue;
       slot.status = Slot::Status::kReturned;
       job.dirty = true;
     }
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -104,6 +104,7 @@
     std::optional<Zone> zone;
     MachineName machine;
     Attempt attempt;
+    bool started = false;  // gangs: under this attempt; it's never started twice under one
     Instant since{};
     // Where room is being made for it: it waits for that machine for a report period.
     std::optional<MachineName> target;
@@ -112,6 +113,7 @@
     store::JobRecord record;
     std::optional<store::End> end;
     store::Progress recorded;
+    bool recalled = false;
     std::set<Generation> generations;  // of the chunks this part holds
     std::map<std::uint32_t, Slot> slots;
     std::map<MachineName, Instant> failed_on;
@@ -132,6 +134,9 @@
   void check_leases(Instant now, Instant word);
   void check_notices(Instant now);
   void place_all(Instant now);
+  void place_gang(const JobId& id, PartJob& job, Instant now);
+  void check_gangs(Instant now);
+  void stop_mates(const JobId& id, double grace);
   void place_job(const JobId& id, PartJob& job, Instant now);
   void start(Machine& m, const TaskId& id, const PartJob& job, Slot& slot, Instant now);
   // False: there is no such machine. `warm`: only where the image is.
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -87,12 +87,15 @@
     if (c.gang_attempt.value()) e["a"] = c.gang_attempt.value();
     chunks.push_back(std::move(e));
   }
-  return {{"last", g.last.value()}, {"chunks", std::move(chunks)}};
+  Json j{{"last", g.last.value()}, {"chunks", std::move(chunks)}};
+  if (g.recall) j["recall"] = true;
+  return j;
 }
 
 Grants parse_grants(const Json& j) {
   Grants g;
   g.last = Generation(wire::get_count(j, "last"));
+  g.recall = wire::get_bool_or(j, "recall", false);
   for (const Json& e : need_list(j, "chunks")) {
     Chunk c;
     c.generation = Generation(wire::get_count(e, "g"));
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -32,7 +32,8 @@
 };
 struct Grants {
   std::vector<Chunk> chunks;
-  Generation last;  // highest generation ever used for the job
+  Generation last;      // highest generation ever used for the job
+  bool recall = false;  // gangs: all tasks are to be stopped and given back, so that it can start anew
 };
 struct Returned {
   Generation generation;
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -314,6 +314,44 @@
   EXPECT_EQ(g[0].grants.chunks[1].generation, Generation(2));
 }
 
+TEST(Gang, GoesToOnePartIfOneCanHoldItElseToSeveralOrNowhere) {
+  struct Case {
+    std::uint32_t tasks, a, b;
+    std::map<std::uint32_t, std::uint32_t> parts;
+  };
+  for (const auto& c : {Case{4, 4, 3, {{0, 4}}}, Case{4, 3, 9, {{1, 4}}}, Case{6, 4, 4, {{0, 3}, {1, 3}}},
+                        Case{9, 4, 4, {}}}) {
+    Bench b;
+    b.job("run-1", c.tasks, [](auto& s) { s.kind = JobKind::kGang; });
+    auto g = b.round(1, {{0, room(c.a)}, {1, room(c.b)}});
+    ASSERT_EQ(g.empty(), c.parts.empty()) << c.tasks;
+    if (g.empty()) continue;
+    EXPECT_EQ(Bench::by_part(g[0]), c.parts);
+    for (auto& x : g[0].grants.chunks) EXPECT_EQ(x.gang_attempt, Attempt(1));
+  }
+}
+
+TEST(Gang, IsRecalledWhenPartOfItCameBackAndStartsAnewOnceAllHas) {
+  Bench b;
+  auto& j = b.job("run-1", 6, [](auto& s) { s.kind = JobKind::kGang; });
+  b.record(b.round(1, {{0, room(4)}, {1, room(4)}}), 1);
+  j.progress[PartId(0)].value.returned = {{Generation(1), Ranges::span(0, 3)}};
+  b.show("run-1", 2);
+  EXPECT_TRUE(b.round(3, {{0, room(9)}, {1, room(9)}}).empty());
+  auto g = b.round(5, {{0, room(9)}, {1, room(9)}});
+  ASSERT_EQ(g.size(), 1u);
+  EXPECT_TRUE(g[0].grants.recall);
+  b.record(g, 5);
+  EXPECT_TRUE(b.round(7, {{0, room(9)}, {1, room(9)}}).empty());
+  j.progress[PartId(1)].value.returned = {{Generation(2), Ranges::span(3, 6)}};
+  b.show("run-1", 8);
+  g = b.round(9, {{0, room(9)}, {1, room(9)}});
+  ASSERT_EQ(g.size(), 1u);
+  EXPECT_FALSE(g[0].grants.recall);
+  EXPECT_EQ(g[0].grants.chunks.at(0).gang_attempt, Attempt(3));
+  EXPECT_EQ(g[0].grants.chunks.at(0).tasks.count(), 6u);
+}
+
 std::shared_ptr<const wire::Catalogue> catalogue() {
   auto c = std::make_shared<wire::Catalogue>();
   (*c)[MachineType("big")] = {MachineType("big"), {32, 0, 64}, 10, 0.1, 4, 1, 30, {Zone("a")}};
--- a/tests/part_test.cpp
+++ b/tests/part_test.cpp
@@ -91,6 +91,23 @@
     j.grants.version = Revision(++revision);
     show(id, t);
   }
+  void grant_gang(const char* id, std::uint32_t tasks, double t, bool recall = false) {
+    auto s = *spec(id, tasks);
+    s.kind = JobKind::kGang;
+    s.checkpoint_s = 5;
+    s.save_s = 2;
+    auto& j = jobs[id];
+    j.record = {std::make_shared<const wire::JobSpec>(s), WallMs(0)};
+    j.created = Revision(1);
+    if (!recall) {
+      auto n = j.grants.value.last.value() + 1;
+      j.grants.value = {{{Generation(n), PartId(0), Term(5), Ranges::span(0, tasks), {}, false, Attempt(n)}},
+                        Generation(n)};
+    }
+    j.grants.value.recall = recall;
+    j.grants.version = Revision(++revision);
+    show(id, t);
+  }
   void show(const char* id, double t, std::optional<End> end = std::nullopt) {
     part.on_job(JobId(id), &jobs[id], end, at(t));
   }
@@ -619,5 +636,65 @@
   }
 }
 
+TEST(Gang, IsPlacedAsAWholeOrNotAtAll) {
+  for (std::uint32_t tasks : {4u, 5u}) {
+    Bench b;
+    b.worker("m1");
+    b.register_all(0);
+    b.report("m1", 0);
+    b.grant_gang("run-1", tasks, 0);
+    b.tick(0);
+    EXPECT_EQ(b.carry_out(0).size(), tasks == 4 ? 4u : 0u);
+    b.tick(1.1);
+    b.record(1.1);
+    EXPECT_EQ(b.jobs["run-1"].outstanding().count(), tasks == 4 ? 4u : 0u);
+  }
+}
+
+TEST(Gang, ALostTaskEndsTheAttempt) {
+  Bench b;
+  for (const char* n : {"m1", "m2"}) b.worker(n);
+  b.register_all(0);
+  for (const char* n : {"m1", "m2"}) b.report(n, 0);
+  b.grant_gang("run-1", 6, 0);
+  b.tick(0);
+  EXPECT_EQ(b.carry_out(0).size(), 6u);
+  // All wait for an image still; one machine goes.
+  auto& rest = b.worker("m2");
+  for (auto& t : rest.tasks) t.state = TaskState::kWaiting;
+  b.report("m2", 1);
+  b.part.on_deleted(MachineName("m1"), at(1.5));
+  b.tick(1.6);
+  auto commands = b.carry_out(1.6);
+  EXPECT_EQ(commands.size(), rest.tasks.size());
+  for (auto& c : commands) EXPECT_EQ(c.op, wire::Command::Op::kStop);
+  // It isn't started again under this attempt, but given back as a whole.
+  b.tick(3);
+  for (auto& c : b.carry_out(3)) EXPECT_NE(c.op, wire::Command::Op::kStart);
+  b.record(3);
+  EXPECT_TRUE(b.jobs["run-1"].outstanding().empty());
+}
+
+TEST(Gang, ARecallStopsAllOfItWithTimeToSave) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant_gang("run-1", 3, 0);
+  b.tick(0);
+  b.carry_out(0);
+  b.grant_gang("run-1", 3, 1, true);
+  b.tick(1);
+  auto commands = b.carry_out(1);
+  ASSERT_EQ(commands.size(), 3u);
+  for (auto& c : commands) {
+    EXPECT_EQ(c.op, wire::Command::Op::kStop);
+    EXPECT_EQ(c.grace_s, 2);
+  }
+  b.tick(1.1);
+  b.record(1.1);
+  EXPECT_TRUE(b.jobs["run-1"].outstanding().empty());
+}
+
 }  // namespace
 }  // namespace beaconsill::part
