--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -136,6 +136,10 @@
     leader_->on_summary(*summary);
   } else if (const auto* release = std::get_if<wire::Release>(&m.body)) {
     workers_->on_release(release->machines);
+  } else if (const auto* relay = std::get_if<wire::Relay>(&m.body)) {
+    workers_->on_relay(m.from, *relay);
+  } else if (const auto* relayed = std::get_if<wire::Relayed>(&m.body)) {
+    workers_->on_relayed(*relayed);
   } else if (const auto* gone = std::get_if<wire::Gone>(&m.body)) {
     workers_->on_gone(gone->machines);
   }
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -25,6 +25,9 @@
   bool owns(PartId part) const { return parts_.contains(part); }
 
   void on_report(const net::Request& r, const net::HttpServer::Reply& reply);
+  // Reports that workers brought to another controller, and what became of those brought here.
+  void on_relay(const NodeName& from, const wire::Relay& r);
+  void on_relayed(const wire::Relayed& r);
   void on_view(const store::View::Touched& t);
   void on_catalogue();
   void on_ask(const wire::Ask& a, const std::function<void(wire::Answer)>& answer);
@@ -54,7 +57,11 @@
   void load_registry(PartId part, part::Part& p);
   // All cancellations before this time are known.
   Instant word() const;
+  std::optional<NodeName> owner_of(PartId part) const;
   void redirect(PartId part, const net::HttpServer::Reply& reply) const;
+  // The owner's answer to a report, relayed or not.
+  net::Response answer(Owned& o, PartId id, const wire::Report& r);
+  void relay(PartId part, const std::string& report, const net::HttpServer::Reply& reply);
   // The part if it's still owned under this term.
   Owned* find(PartId part, Term term);
 
@@ -63,6 +70,13 @@
   Repeater tick_;
   std::map<PartId, Owned> parts_;
   std::map<MachineName, Channel> channels_;
+  struct Pending {
+    net::HttpServer::Reply reply;
+    PartId part;
+    Instant until;
+  };
+  std::map<std::uint64_t, Pending> relayed_;  // to their owners, not yet answered
+  std::uint64_t next_relay_ = 1;
   bool kicked_ = false;
   bool stopped_ = false;
 };
--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -66,10 +66,12 @@
   // From reports.
   Session session;
   Sequence sequence;
-  Token seen;                       // highest token that the worker is known to have seen
-  bool reported = false;            // under this owner's term: no earlier owner is obeyed any more
-  Instant heard{};                  // last report, or when the owner began to wait for one
-  Instant answered{};               // last answer to a report
+  Token seen;                // highest token that the worker is known to have seen
+  bool reported = false;     // under this owner's term: no earlier owner is obeyed any more
+  Instant heard{};           // last report, or when the owner began to wait for one
+  Instant answered{};        // last answer to a report
+  Instant heard_directly{};  // last report that was not relayed by another controller
+  Instant redirected{};      // when the worker was last pointed here, or first answered by way of another
   std::optional<Instant> taken_at;  // spot notice
   std::map<TaskKey, TaskOn> tasks;
   ImageCache images;
@@ -98,7 +100,7 @@
   std::size_t live_tasks() const;
   bool usable(Instant now) const {
     return reported && registered && type_known && !closed && !sick && !deleting && !taken_at &&
-           now - heard < quiet;
+           now - heard < quiet && channel != Channel::kFencing;
   }
   Duration quiet = std::chrono::seconds(4);  // without a report for this long it gets no new tasks
 };
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -22,8 +22,9 @@
 constexpr Duration kErrorMemory = std::chrono::seconds(60);
 constexpr Duration kStrayPatience = std::chrono::seconds(2);
 constexpr double kMaxBackoff = 30;
-constexpr std::size_t kSickJobs = 2;       // so many jobs fail on a machine: it is the machine
-constexpr std::size_t kBadMachines = 3;    // a job fails on so many machines: it is the job
+constexpr std::size_t kSickJobs = 2;     // so many jobs fail on a machine: it is the machine
+constexpr std::size_t kBadMachines = 3;  // a job fails on so many machines: it is the job
+constexpr Duration kPointAgain = std::chrono::seconds(20);
 constexpr std::size_t kMaxCommands = 128;  // in one batch
 
 bool live(const TaskOn& t) {
@@ -53,6 +54,11 @@
   m.type_known = true;
 }
 
+Machine* Part::find_machine(const MachineName& name) {
+  auto it = machines_.find(name);
+  return it == machines_.end() ? nullptr : &it->second;
+}
+
 Part::PartJob* Part::find_job(const JobId& id) {
   auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
@@ -133,10 +139,37 @@
   return m;
 }
 
-Token Part::answer(const MachineName& name, Instant now) {
+Part::ReportAnswer Part::answer(const MachineName& name, Instant now) {
   auto& m = machines_.at(name);
   m.answered = now;
-  return m.token;
+  ReportAnswer a{m.token, {}};
+  if (m.channel != Machine::Channel::kFencing) return a;
+  for (const auto& [key, t] : m.tasks)
+    if (live(t) && t.stop_grace && a.commands.size() < kMaxCommands)
+      a.commands.push_back({wire::Command::Op::kStop, key.first, key.second, *t.stop_grace});
+  return a;
+}
+
+// A worker with running tasks that comes by way of another controller may be cut off from this one: pointed
+// here first, it could lose its lease before it's back. It's answered at once and pointed here later, to try.
+bool Part::point_here(const wire::Report& r, Instant now) {
+  auto it = machines_.find(r.machine);
+  bool busy =
+      std::any_of(r.tasks.begin(), r.tasks.end(), [](const auto& t) { return t.state != TaskState::kEnded; });
+  if (it == machines_.end() || !busy) return true;
+  auto& m = it->second;
+  if (m.redirected == Instant{}) {
+    // Never here under this term: a takeover, most likely, and this node is in reach.
+    if (m.heard_directly == Instant{}) {
+      m.redirected = now;
+      return true;
+    }
+    m.redirected = now;
+    return false;
+  }
+  if (now - m.redirected < kPointAgain) return false;
+  m.redirected = now;
+  return true;
 }
 
 void Part::supersede(Term t) {
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -30,6 +30,7 @@
   PartId id() const { return id_; }
   Term term() const { return term_; }
   const std::map<MachineName, Machine>& machines() const { return machines_; }
+  Machine* find_machine(const MachineName& name);
   // Some worker has seen a token of a higher term: another owner exists.
   bool superseded() const { return superseded_; }
   // Word of a higher term came by another way.
@@ -44,8 +45,17 @@
   void on_registry(const std::vector<store::MachineRecord>& records, Instant now);
   // A report, by the worker or in the body of an answer to commands. False: it's stale.
   bool on_report(const wire::Report& r, Instant now);
-  // The token to answer a machine's report with; the lease runs anew from here.
-  Token answer(const MachineName& m, Instant now);
+  // What to answer a machine's report with; the lease runs anew from here.
+  struct ReportAnswer {
+    Token token;
+    // While commands don't get through to the machine, what is to be stopped is told this way. Only stops:
+    // they can be repeated, and need no settling.
+    std::vector<wire::Command> commands;
+  };
+  ReportAnswer answer(const MachineName& m, Instant now);
+  // A report came by way of another controller: whether the worker is to be pointed here rather than answered
+  // that way.
+  bool point_here(const wire::Report& r, Instant now);
   // The state of a job changed (none: it's gone).
   void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
   // Lets time pass and places tasks. `word`: all cancellations told before this time are known here.
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -15,6 +15,8 @@
     summary @5 :Summary;
     release @6 :Machines;
     gone @7 :Machines;
+    relay @8 :Relay;
+    relayed @9 :Relayed;
   }
 }
 
@@ -108,6 +110,19 @@
   running @1 :UInt32;
 }
 
+# A worker's report, as it came, to the owner of its part: the worker may be unable to reach it.
+struct Relay {
+  id @0 :UInt64;
+  report @1 :Text;
+}
+
+# The owner's answer, to be passed on as it is.
+struct Relayed {
+  id @0 :UInt64;
+  status @1 :UInt16;
+  body @2 :Text;
+}
+
 struct Machines {
   names @0 :List(Text);
 }
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -107,6 +107,12 @@
     }
     case peer::Message::RELEASE:
       return Release{get_names(m.getRelease())};
+    case peer::Message::RELAY:
+      return Relay{m.getRelay().getId(), text(m.getRelay().getReport())};
+    case peer::Message::RELAYED: {
+      auto r = m.getRelayed();
+      return Relayed{r.getId(), r.getStatus(), text(r.getBody())};
+    }
     case peer::Message::GONE:
       return Gone{get_names(m.getGone())};
   }
@@ -177,6 +183,17 @@
                    }
                  },
                  [&](const Release& r) { put_names(m.initRelease(), r.machines); },
+                 [&](const Relay& r) {
+                   auto b = m.initRelay();
+                   b.setId(r.id);
+                   b.setReport(r.report);
+                 },
+                 [&](const Relayed& r) {
+                   auto b = m.initRelayed();
+                   b.setId(r.id);
+                   b.setStatus(static_cast<std::uint16_t>(r.status));
+                   b.setBody(r.body);
+                 },
                  [&](const Gone& g) { put_names(m.initGone(), g.machines); },
              },
              body);
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -85,7 +85,17 @@
   std::vector<MachineName> machines;
 };
 
-using PeerBody = std::variant<Heartbeat, Nudge, Ask, Answer, Summary, Release, Gone>;
+struct Relay {
+  std::uint64_t id = 0;
+  std::string report;
+};
+struct Relayed {
+  std::uint64_t id = 0;
+  int status = 0;
+  std::string body;
+};
+
+using PeerBody = std::variant<Heartbeat, Nudge, Ask, Answer, Summary, Release, Gone, Relay, Relayed>;
 struct PeerMessage {
   NodeName from;
   PeerBody body;
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -55,11 +55,8 @@
   return r;
 }
 
-std::string render_report_answer(Token token) {
-  return dump(Json{{"helm", token.value()}, {"signals", Json::array()}});
-}
-
-std::string render_commands(Token token, Session session, const std::vector<Command>& commands) {
+namespace {
+Json command_list(const std::vector<Command>& commands) {
   Json list = Json::array();
   for (const auto& c : commands) {
     Json e{{"lamp", task_name(c.task)}, {"launch", c.attempt.value()}};
@@ -77,7 +74,16 @@
     }
     list.push_back(std::move(e));
   }
-  return dump(Json{{"helm", token.value()}, {"watch", session.value()}, {"signals", std::move(list)}});
+  return list;
+}
+}  // namespace
+
+std::string render_report_answer(Token token, const std::vector<Command>& commands) {
+  return dump(Json{{"helm", token.value()}, {"signals", command_list(commands)}});
+}
+
+std::string render_commands(Token token, Session session, const std::vector<Command>& commands) {
+  return dump(Json{{"helm", token.value()}, {"watch", session.value()}, {"signals", command_list(commands)}});
 }
 
 std::string render_redirect(const std::optional<NodeName>& owner) {
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -48,7 +48,7 @@
   double grace_s = 0;
 };
 
-std::string render_report_answer(Token token);
+std::string render_report_answer(Token token, const std::vector<Command>& commands);
 std::string render_commands(Token token, Session session, const std::vector<Command>& commands);
 // The answer to a report by a node that isn't the machine's owner.
 std::string render_redirect(const std::optional<NodeName>& owner);
--- a/tests/part_test.cpp
+++ b/tests/part_test.cpp
@@ -362,7 +362,7 @@
     b.apply(b.worker("m1"), batches[0]);
     b.part.on_commands(batches[0], Part::CommandResult::kExecuted, b.worker("m1"), at(i));
   }
-  EXPECT_EQ(b.part.answer(MachineName("m1"), at(5)), last);
+  EXPECT_EQ(b.part.answer(MachineName("m1"), at(5)).token, last);
 }
 
 TEST(Part, ARefusedBatchIsStartedAnew) {
@@ -501,6 +501,42 @@
   EXPECT_TRUE(b.carry_out(20).empty());
 }
 
+// Found on a recorded day: an owner lost its workers only, and their leases ran out while the others kept
+// sending them back to it.
+TEST(Relay, AWorkerWithTasksIsAnsweredFirstAndPointedHereLater) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  auto& m = b.worker("m1");
+  EXPECT_TRUE(b.part.point_here(m, at(0)));  // nothing to lose
+  b.report("m1", 0);
+  b.part.find_machine(MachineName("m1"))->heard_directly = at(0);
+  b.grant("run-1", 1, 5, 0);
+  b.tick(0);
+  b.carry_out(0);
+  EXPECT_FALSE(b.part.point_here(m, at(5)));
+  EXPECT_FALSE(b.part.point_here(m, at(6)));
+  EXPECT_TRUE(b.part.point_here(m, at(26)));
+  EXPECT_FALSE(b.part.point_here(m, at(31)));
+}
+
+TEST(Relay, WhileCommandsDoNotGetThroughStopsGoWithTheAnswers) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 2, 5, 0);
+  b.tick(0);
+  b.carry_out(0);
+  b.show("run-1", 1, End::kCancelled);
+  b.tick(1);
+  for (auto& x : b.part.take_batches(at(1)))
+    b.part.on_commands(x, Part::CommandResult::kNoAnswer, std::nullopt, at(3));
+  auto a = b.part.answer(MachineName("m1"), at(3.5));
+  ASSERT_EQ(a.commands.size(), 2u);
+  for (auto& c : a.commands) EXPECT_EQ(c.op, wire::Command::Op::kStop);
+}
+
 // Silence: what the owner concludes from it.
 TEST(Silence, DeletesOneMachineButNotMany) {
   Bench b;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -144,6 +144,8 @@
       summary,
       Release{{MachineName("x"), MachineName("y")}},
       Gone{{MachineName("z")}},
+      Relay{5, "{}"},
+      Relayed{5, 421, "{}"},
   };
   for (const auto& body : bodies) {
     auto bytes = encode_peer({NodeName("n1"), body});
