--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -190,7 +190,11 @@
     spdlog::debug("{}: stale report {}/{} dropped", m.name.value(), r.session.value(), r.sequence.value());
     return false;
   }
-  if (r.session != m.session) lose_all(m, now);
+  if (r.session != m.session) {
+    if (!m.tasks.empty())
+      spdlog::info("{}: its lease ran out, {} tasks are lost", m.name.value(), m.tasks.size());
+    lose_all(m, now);
+  }
   m.session = r.session;
   m.sequence = r.sequence;
   m.heard = now;
@@ -336,14 +340,16 @@
   for (const auto& [name, m] : machines_)
     if (m.registered && !m.reported) return;
   rebuilt_ = true;
-  spdlog::info("part {}: rebuilt under term {} after {:.1f} s, {} machines", id_.value(), term_.value(),
-               to_seconds(now - began_), machines_.size());
+  std::size_t missing = 0;
   for (auto& [id, job] : jobs_)
     for (auto& [n, slot] : job.slots)
       if (slot.status == Slot::Status::kHeld) {
         slot.status = Slot::Status::kWaiting;
         slot.since = now;
+        ++missing;
       }
+  spdlog::info("part {}: rebuilt under term {} after {:.1f} s, {} machines, {} granted tasks on none of them",
+               id_.value(), term_.value(), to_seconds(now - began_), machines_.size(), missing);
 }
 
 // ---------------------------------------------------------------- jobs
