--- a/src/config/policy.cpp
+++ b/src/config/policy.cpp
@@ -22,7 +22,7 @@
 
 const std::vector<KnobSpec>& specs() {
   static const std::vector<KnobSpec> kSpecs{
-      {"reply_wait", ExprType::kDuration, "2s", 0.01, 60,
+      {"reply_wait", ExprType::kDuration, "300ms", 0.01, 60,
        "wait for a part's estimate before its summary is used",
        [](Policy& p, double v) { p.reply_wait = from_seconds(v); }},
       {"task_cap", ExprType::kNumber, "64", 1, 100000, "most tasks on one machine",
