--- a/src/config/policy.cpp
+++ b/src/config/policy.cpp
@@ -22,7 +22,7 @@
 
 const std::vector<KnobSpec>& specs() {
   static const std::vector<KnobSpec> kSpecs{
-      {"reply_wait", ExprType::kDuration, "300ms", 0.01, 60,
+      {"reply_wait", ExprType::kDuration, "2s", 0.01, 60,
        "wait for a part's estimate before its summary is used",
        [](Policy& p, double v) { p.reply_wait = from_seconds(v); }},
       {"task_cap", ExprType::kNumber, "64", 1, 100000, "most tasks on one machine",
@@ -34,8 +34,10 @@
       {"grace", ExprType::kDuration, "max(4 * report_period, lease / 2)", 0.5, 600,
        "silence after which a machine is deleted, which proves it gone",
        [](Policy& p, double v) { p.grace = from_seconds(v); }},
-      {"idle_return", ExprType::kDuration, "40s", 1, 86400, "idle time after which a machine is returned",
+      {"idle_return", ExprType::kDuration, "120s", 1, 86400, "idle time after which a machine is returned",
        [](Policy& p, double v) { p.idle_return = from_seconds(v); }},
+      {"quiet_return", ExprType::kDuration, "40s", 1, 86400, "the same when no job is left at all",
+       [](Policy& p, double v) { p.quiet_return = from_seconds(v); }},
       {"home_delay", ExprType::kDuration, "15s", 0, 86400,
        "how long a part's home node is well before it gets it back",
        [](Policy& p, double v) { p.home_delay = from_seconds(v); }},
--- a/src/config/policy.h
+++ b/src/config/policy.h
@@ -17,6 +17,7 @@
   double reserve;           // share of each machine that arrays leave free for services
   Duration grace;           // silence after which a machine is proved gone by deleting it
   Duration idle_return;     // how long a machine is idle before it is returned
+  Duration quiet_return;    // the same when no job is left at all
   Duration home_delay;      // how long a part's home node is well before it gets the part back
 };
 
--- a/src/lead/capacity.cpp
+++ b/src/lead/capacity.cpp
@@ -138,12 +138,13 @@
 }
 
 std::vector<MachineName> Capacity::surplus(const std::map<PartId, wire::Summary>& summaries, bool demand,
-                                           Instant) const {
+                                           bool jobs) const {
   std::vector<MachineName> out;
   if (demand) return out;
+  double enough = to_seconds(jobs ? params_.idle_return : params_.quiet_return);
   for (const auto& [part, s] : summaries)
     for (const auto& m : s.machines)
-      if (m.usable && m.idle_s > to_seconds(params_.idle_return)) out.push_back(m.name);
+      if (m.usable && m.idle_s > enough) out.push_back(m.name);
   return out;
 }
 
--- a/src/lead/capacity.h
+++ b/src/lead/capacity.h
@@ -13,6 +13,7 @@
 
 struct CapacityParams {
   Duration idle_return{};
+  Duration quiet_return{};
   Duration list_lag{};
   std::uint32_t task_cap = 64;
 };
@@ -36,9 +37,9 @@
 
   // Machines to delete that no owner knows: failed, or never up.
   std::vector<MachineName> dead(Instant now);
-  // Idle machines that their owners may return.
+  // Idle machines that their owners may return: later while there are jobs, whose next tasks may need them.
   std::vector<MachineName> surplus(const std::map<PartId, wire::Summary>& summaries, bool demand,
-                                   Instant now) const;
+                                   bool jobs) const;
 
  private:
   struct Kind {
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -388,6 +388,10 @@
   return std::chrono::milliseconds(wall.value() - it->second.due_ms[0]);
 }
 
+bool Lead::busy() const {
+  return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return !j.second.end; });
+}
+
 std::vector<JobId> Lead::drained() const {
   std::vector<JobId> out;
   for (const auto& [id, e] : jobs_)
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -65,6 +65,8 @@
   std::vector<Demand> demand(Instant now) const;
   const std::map<PartId, wire::Summary>& summaries() const { return summaries_; }
   Resources usage(const Team& team) const;
+  // Whether any job isn't over.
+  bool busy() const;
 
  private:
   struct Entry {
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -47,8 +47,8 @@
   p.max_writes = std::min(kMaxGrants, ctx_.settings.txn_ops);
   lead_ = std::make_unique<lead::Lead>(p, ctx_.settings.teams, ctx_.settings.objectives);
   capacity_ = std::make_unique<lead::Capacity>(
-      lead::CapacityParams{ctx_.policy.idle_return, from_seconds(ctx_.settings.list_lag_s),
-                           ctx_.policy.task_cap},
+      lead::CapacityParams{ctx_.policy.idle_return, ctx_.policy.quiet_return,
+                           from_seconds(ctx_.settings.list_lag_s), ctx_.policy.task_cap},
       "t" + std::to_string(term.value()) + "-");
   capacity_->set_catalogue(ctx_.catalogue);
   for (const auto& [part, s] : summaries_) lead_->on_summary(s, ctx_.now());
@@ -242,7 +242,7 @@
       workers_.on_gone(dead);
     });
   }
-  if (auto idle = capacity_->surplus(lead_->summaries(), !demand.empty(), now); !idle.empty()) {
+  if (auto idle = capacity_->surplus(lead_->summaries(), !demand.empty(), lead_->busy()); !idle.empty()) {
     peers_.broadcast(wire::Release{idle});
     workers_.on_release(idle);
   }
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -369,7 +369,7 @@
 }
 
 TEST(Capacity, RentsWhatIsMissingOnceAndUnderAnEverNewName) {
-  Capacity c({std::chrono::seconds(60), std::chrono::seconds(3), 64}, "t7-");
+  Capacity c({std::chrono::seconds(60), std::chrono::seconds(20), std::chrono::seconds(3), 64}, "t7-");
   c.set_catalogue(catalogue());
   auto r = c.rent(demand(10), at(0));
   ASSERT_TRUE(r);
@@ -389,7 +389,7 @@
 }
 
 TEST(Capacity, RefusedKindsAreLeftAloneForAWhile) {
-  Capacity c({std::chrono::seconds(60), std::chrono::seconds(3), 64}, "t7-");
+  Capacity c({std::chrono::seconds(60), std::chrono::seconds(20), std::chrono::seconds(3), 64}, "t7-");
   c.set_catalogue(catalogue());
   auto r = c.rent(demand(4), at(0));
   c.on_refused(*r, at(0));
@@ -398,8 +398,23 @@
   EXPECT_NE(std::tie(second->type, second->zone), std::tie(r->type, r->zone));
 }
 
+TEST(Capacity, IdleMachinesAreReturnedLaterWhileThereAreJobs) {
+  struct Case {
+    double idle;
+    bool demand, jobs, returned;
+  };
+  for (const auto& c :
+       {Case{10, false, false, false}, Case{30, false, false, true}, Case{30, false, true, false},
+        Case{70, false, true, true}, Case{70, true, true, false}}) {
+    Capacity cap({std::chrono::seconds(60), std::chrono::seconds(20), std::chrono::seconds(3), 64}, "t7-");
+    std::map<PartId, wire::Summary> s;
+    s[PartId(0)].machines = {{MachineName("m"), MachineType("t"), Zone("a"), false, {4, 0, 8}, c.idle, true}};
+    EXPECT_EQ(!cap.surplus(s, c.demand, c.jobs).empty(), c.returned) << c.idle << c.demand << c.jobs;
+  }
+}
+
 TEST(Capacity, MachinesThatNeverBootOrFailedAreDeletedOnce) {
-  Capacity c({std::chrono::seconds(60), std::chrono::seconds(3), 64}, "t7-");
+  Capacity c({std::chrono::seconds(60), std::chrono::seconds(20), std::chrono::seconds(3), 64}, "t7-");
   c.set_catalogue(catalogue());
   using S = wire::MachineState;
   auto listed = [](const char* n, S s, double age) {
