Owner and leader read everything before they rely on it; leases are proved by reads only

Both now wait for a read begun after the claim; reports are answered from the claim on. Rule 4 took peers' word for a read of the role; a peer that has ended since may have been the successor. Tests: Takeover.NothingOfItStartsBeforeTheRegistryWasRead, Silence.TheLeaseProvesOnlyWithALaterReadOfTheRole.

--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -39,6 +39,7 @@
 
 void LeaderDuty::lead(Term term) {
   term_ = term;
+  read_ = reading_ = false;
   lead::LeadParams p;
   p.reply_wait = ctx_.policy.reply_wait;
   p.report_period = from_seconds(ctx_.settings.report_s);
@@ -66,7 +67,7 @@
 
 std::optional<wire::Condition> LeaderDuty::still_leader() const {
   const auto& role = ctx_.view().leader();
-  if (!lead_ || !role.exists() || role.value.term != term_) return std::nullopt;
+  if (!lead_ || !read_ || !role.exists() || role.value.term != term_) return std::nullopt;
   return wire::Condition{store::leader_role_key(), role.version};
 }
 
@@ -109,8 +110,22 @@
   });
 }
 
+// The grants that an earlier leader wrote last may not be in the view yet: without them the ledger would
+// allow more than a team's limit.
+void LeaderDuty::read_all() {
+  if (read_ || reading_) return;
+  reading_ = true;
+  ctx_.mirror->sync([this, term = term_](bool ok) {
+    if (stopped_ || !lead_ || term != term_) return;
+    reading_ = false;
+    read_ = ok;
+    if (ok) kick();
+  });
+}
+
 void LeaderDuty::pump() {
   if (!lead_) return;
+  read_all();
   rounds();
   write_ends();
 }
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -29,6 +29,8 @@
   void kick();
 
  private:
+  // The ledger is whole only once everything was read that earlier leaders wrote.
+  void read_all();
   void pump();
   void rounds();
   void write_ends();
@@ -48,6 +50,8 @@
   std::unique_ptr<lead::Capacity> capacity_;
   std::set<JobId> ending_, tidying_;
   std::map<PartId, wire::Summary> summaries_;  // also while another leads
+  bool read_ = false;
+  bool reading_ = false;
   bool kicked_ = false;
   bool stopped_ = false;
 };
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -45,7 +45,6 @@
   o = {};
   o.part = std::make_unique<part::Part>(id, term, p, ctx_.now());
   o.part->set_catalogue(ctx_.catalogue);
-  load_registry(id, *o.part);
   for (const auto& [job, record] : ctx_.view().jobs())
     o.part->on_job(job, &record, ctx_.view().end(job), ctx_.now());
   kick();
@@ -55,6 +54,22 @@
   parts_.erase(id);
 }
 
+// What the earlier owner wrote last may not be in the view yet: until everything was read that was written
+// before this owner's term, nobody knows which machines to wait for, and the part must not pass for rebuilt.
+void WorkersDuty::read_registry(PartId id, Owned& o) {
+  if (o.read || o.reading) return;
+  o.reading = true;
+  ctx_.mirror->sync([this, id, term = o.part->term()](bool ok) {
+    auto* x = stopped_ ? nullptr : find(id, term);
+    if (!x) return;
+    x->reading = false;
+    if (!ok) return;
+    x->read = true;
+    load_registry(id, *x->part);
+    kick();
+  });
+}
+
 void WorkersDuty::load_registry(PartId id, part::Part& p) {
   std::vector<store::MachineRecord> all;
   for (std::uint32_t b = 0; b < store::kMachineBuckets; ++b) {
@@ -170,7 +185,7 @@
 
 void WorkersDuty::on_view(const store::View::Touched& t) {
   for (auto& [id, o] : parts_) {
-    if (t.machines.contains(id)) load_registry(id, *o.part);
+    if (o.read && t.machines.contains(id)) load_registry(id, *o.part);
     for (const auto& job : t.jobs)
       o.part->on_job(job, ctx_.view().job(job), ctx_.view().end(job), ctx_.now());
   }
@@ -228,7 +243,8 @@
     it = relayed_.erase(it);
   }
   for (auto& [id, o] : parts_) {
-    o.part->tick(ctx_.now(), word());
+    read_registry(id, o);
+    o.part->tick(ctx_.now(), word(), ctx_.mirror->word());
     for (auto& b : o.part->take_batches(ctx_.now())) send(id, std::move(b));
     write_registry(id, o);
     write_progress(id, o);
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -43,6 +43,8 @@
     std::unique_ptr<part::Part> part;
     bool writing = false;
     bool registering = false;
+    bool read = false;  // the state service was read after the term was written
+    bool reading = false;
     std::map<JobId, Instant> written;  // when a job's progress was last written
   };
   struct Channel {
@@ -54,6 +56,7 @@
   void write_progress(PartId part, Owned& o);
   void write_registry(PartId part, Owned& o);
   void remove_machines(PartId part, Owned& o);
+  void read_registry(PartId part, Owned& o);
   void load_registry(PartId part, part::Part& p);
   // All cancellations before this time are known.
   Instant word() const;
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -454,26 +454,26 @@
 
 // ---------------------------------------------------------------- time
 
-void Part::tick(Instant now, Instant word) {
+void Part::tick(Instant now, Instant word, Instant read) {
   check_rebuilt(now);
-  check_leases(now, word);
+  check_leases(now, read);
   check_notices(now);
   check_gangs(now);
-  stop_strays(now, word);
+  stop_strays(read);
   // Starting a task needs recent word of cancellations, well inside the time that they have.
   if (now - word < params_.cancel_limit / 4) place_all(now);
   give_back(now);
 }
 
 // Rule 4 of docs/design.md: the lease has run out since the last time that anybody entitled can have
-// answered. The worker has seen our term, so no earlier owner is obeyed; `word` shows that no successor
-// existed.
-void Part::check_leases(Instant now, Instant word) {
+// answered. The worker has seen our term, so no earlier owner is obeyed; `read` shows that no successor
+// existed. Peers' word doesn't: one that has ended since may have been it.
+void Part::check_leases(Instant now, Instant read) {
   for (auto& [name, m] : machines_) {
     if (!m.reported || m.tasks.empty()) continue;
     auto over = std::max(m.answered, m.heard) + std::chrono::duration_cast<Duration>(params_.lease * kDrift) +
                 kLeaseMargin;
-    if (now <= over || word <= over || superseded_) continue;
+    if (now <= over || read <= over || superseded_) continue;
     spdlog::info("{}: silent beyond its lease, its {} tasks are gone", name.value(), m.tasks.size());
     lose_all(m, now);
     // A report of that session can only be a late one.
@@ -507,7 +507,7 @@
 }
 
 // Tasks on a machine that are not granted to this part, or whose job is over.
-void Part::stop_strays(Instant now, Instant word) {
+void Part::stop_strays(Instant read) {
   for (auto& [name, m] : machines_) {
     for (auto& [key, t] : m.tasks) {
       auto job = jobs_.find(key.first.job);
@@ -522,7 +522,7 @@
       }
       if (known && job->second.slots.contains(key.first.index)) continue;
       // Its grant may be on its way to us: judged only by what was read after the task was seen.
-      if (word < t.since + kStrayPatience) continue;
+      if (read < t.since + kStrayPatience) continue;
       if (live(t)) {
         if (!t.stop_grace)
           spdlog::info("{}: task {} isn't granted here, stopped", name.value(), wire::task_name(key.first));
@@ -532,7 +532,6 @@
       }
     }
   }
-  (void)now;
 }
 
 void Part::place_all(Instant now) {
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -58,8 +58,9 @@
   bool point_here(const wire::Report& r, Instant now);
   // The state of a job changed (none: it's gone).
   void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
-  // Lets time pass and places tasks. `word`: all cancellations told before this time are known here.
-  void tick(Instant now, Instant word);
+  // Lets time pass and places tasks. `word`: all cancellations told before this time are known here, by
+  // whatever way. `read`: the state service was read as of this time, the part's role included.
+  void tick(Instant now, Instant word, Instant read);
 
   // ---- Commands
   struct Batch {
@@ -141,7 +142,7 @@
   void update(Machine& m, const TaskKey& key, TaskOn& t, const wire::TaskReport& r, Instant now);
   void settle(Machine& m, Instant now);
   void check_rebuilt(Instant now);
-  void check_leases(Instant now, Instant word);
+  void check_leases(Instant now, Instant read);
   void check_notices(Instant now);
   void place_all(Instant now);
   void place_gang(const JobId& id, PartJob& job, Instant now);
@@ -152,7 +153,7 @@
   // False: there is no such machine. `warm`: only where the image is.
   bool preempt_for(const PartJob& job, Slot& slot, bool warm, Instant now);
   void give_back(Instant now);
-  void stop_strays(Instant now, Instant word);
+  void stop_strays(Instant read);
   store::Progress progress_of(const PartJob& job) const;
   void stop(TaskOn& t, double grace) { t.stop_grace = std::min(t.stop_grace.value_or(grace), grace); }
   Machine& machine(const wire::Report& r, Instant now);
--- a/tests/part_test.cpp
+++ b/tests/part_test.cpp
@@ -144,7 +144,7 @@
       if (c.op == wire::Command::Op::kForget && it != w.tasks.end()) w.tasks.erase(it);
     }
   }
-  void tick(double t) { part.tick(at(t), at(t)); }
+  void tick(double t) { part.tick(at(t), at(t), at(t)); }
 
   Part part;
   std::map<std::string, wire::Report> workers;
@@ -460,6 +460,24 @@
   EXPECT_EQ(starts, 1u);
 }
 
+// What an earlier owner registered last may not be known yet.
+TEST(Takeover, NothingOfItStartsBeforeTheRegistryWasRead) {
+  Bench b(6);
+  b.worker("m1");
+  b.grant("run-1", 1, 5, 0);
+  b.report("m1", 0.5);
+  b.tick(1);
+  EXPECT_FALSE(b.part.rebuilt());
+  EXPECT_TRUE(b.carry_out(1).empty());
+  b.worker("m2");
+  b.register_all(1.5);
+  b.tick(1.6);
+  EXPECT_TRUE(b.carry_out(1.6).empty());
+  b.report("m2", 2);
+  b.tick(2.1);
+  EXPECT_EQ(b.carry_out(2.1).size(), 1u);
+}
+
 TEST(Takeover, RunningTasksAreKept) {
   Bench b(6);
   b.worker("m1").tasks.push_back(
@@ -497,7 +515,7 @@
   b.register_all(0);
   b.report("m1", 20);
   b.grant("run-1", 1, 5, 20);
-  b.part.tick(at(20), at(0));
+  b.part.tick(at(20), at(0), at(20));
   EXPECT_TRUE(b.carry_out(20).empty());
 }
 
@@ -549,9 +567,9 @@
   EXPECT_TRUE(b.part.take_deletions(at(30)).empty());
 }
 
-TEST(Silence, TheLeaseProvesOnlyWithLaterWordOfTheRole) {
+TEST(Silence, TheLeaseProvesOnlyWithALaterReadOfTheRole) {
   struct Case {
-    double now, word;
+    double now, read;
     bool gone;
   };
   for (const auto& c : {Case{9, 9, false}, Case{12, 5, false}, Case{12, 12, true}}) {
@@ -562,8 +580,8 @@
     b.grant("run-1", 1, 5, 0);
     b.tick(0);
     b.carry_out(0);
-    b.part.tick(at(c.now), at(c.word));
-    EXPECT_EQ(b.part.machines().at(MachineName("m1")).tasks.empty(), c.gone) << c.now << ' ' << c.word;
+    b.part.tick(at(c.now), at(c.now), at(c.read));
+    EXPECT_EQ(b.part.machines().at(MachineName("m1")).tasks.empty(), c.gone) << c.now << ' ' << c.read;
   }
 }
 
