--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -45,11 +45,6 @@
   usage_[e.record.spec->team] += e.record.spec->each * (sign * static_cast<double>(e.outstanding));
 }
 
-Resources Lead::usage(const Team& team) const {
-  auto it = usage_.find(team);
-  return it == usage_.end() ? Resources{} : it->second;
-}
-
 void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now) {
   auto it = jobs_.find(id);
   if (it != jobs_.end()) ledger(it->second, -1);
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -20,7 +20,6 @@
   Duration reply_wait{};
   Duration report_period{};
   part::RoomRules rules;
-  std::uint32_t parts = 1;
   std::size_t max_writes = 8;  // grants in one transaction
 };
 
@@ -64,7 +63,6 @@
   // ---- Questions
   std::vector<Demand> demand(Instant now) const;
   const std::map<PartId, wire::Summary>& summaries() const { return summaries_; }
-  Resources usage(const Team& team) const;
   // Whether any job isn't over.
   bool busy() const;
 
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -44,7 +44,6 @@
   p.reply_wait = ctx_.policy.reply_wait;
   p.report_period = from_seconds(ctx_.settings.report_s);
   p.rules = {ctx_.policy.task_cap, ctx_.policy.reserve};
-  p.parts = ctx_.parting.parts();
   p.max_writes = std::min(kMaxGrants, ctx_.settings.txn_ops);
   lead_ = std::make_unique<lead::Lead>(p, ctx_.settings.teams, ctx_.settings.objectives);
   capacity_ = std::make_unique<lead::Capacity>(
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -75,11 +75,6 @@
   });
 }
 
-std::size_t RolesDuty::held_parts() const {
-  return static_cast<std::size_t>(
-      std::count_if(parts_.begin(), parts_.end(), [](const auto& p) { return p.second.held.has_value(); }));
-}
-
 // This node's place among those that may take a vacant role: a part's home first, then by a fixed order.
 std::size_t RolesDuty::rank(std::optional<PartId> part) const {
   const auto& nodes = ctx_.parting.nodes();
--- a/src/node/roles.h
+++ b/src/node/roles.h
@@ -37,7 +37,6 @@
   void hand_back(RoleState& s, const store::Versioned<store::Role>& role, PartId part);
   void lose(RoleState& s, std::optional<PartId> part);
   std::size_t rank(std::optional<PartId> part) const;
-  std::size_t held_parts() const;
 
   Context& ctx_;
   Hooks hooks_;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -169,18 +169,11 @@
 }
 
 void StoreClient::judge(const net::Result& r) {
-  if (r.status == 429) {
-    auto now = clock_.now();
-    requests_.drain(now);
-    writes_.drain(now);
-    spdlog::info("state service: too many requests; this node pauses its own");
-    return;
-  }
-  if (r.answered() && r.status != 503) {
-    failing_since_.reset();
-  } else if (!failing_since_) {
-    failing_since_ = clock_.now();
-  }
+  if (r.status != 429) return;
+  auto now = clock_.now();
+  requests_.drain(now);
+  writes_.drain(now);
+  spdlog::info("state service: too many requests; this node pauses its own");
 }
 
 void StoreClient::stop() {
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -37,8 +37,6 @@
 struct StoreLimits {
   double rps = 0;
   double write_rps = 0;
-  std::size_t txn_ops = 0;
-  std::size_t value_bytes = 0;
 };
 
 class StoreClient : public std::enable_shared_from_this<StoreClient> {
@@ -53,11 +51,8 @@
 
   // This node's part of the service's limits.
   void set_share(double share);
-  const StoreLimits& limits() const { return limits_; }
   // How long a change of this urgency would wait now: what overload is judged by.
   Duration write_wait(Urgency u) const;
-  // Since when every answer was a refusal or none came; nothing if the last one was good.
-  std::optional<Instant> failing_since() const { return failing_since_; }
   void stop();
 
  private:
@@ -80,7 +75,6 @@
   Budget requests_, writes_;
   std::array<std::deque<Job>, kUrgencies> queues_;
   asio::steady_timer timer_;
-  std::optional<Instant> failing_since_;
   bool stopped_ = false;
 };
 
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -109,7 +109,7 @@
 // A leader whose parts answer what the test says.
 struct Bench {
   explicit Bench(double cpus_max = 0)
-      : lead({std::chrono::seconds(2), std::chrono::seconds(1), {}, 2, 8}, {team("blue", 0, cpus_max)},
+      : lead({std::chrono::seconds(2), std::chrono::seconds(1), {}, 8}, {team("blue", 0, cpus_max)},
              {{"finished", "night", 0.9, 60, 1}}) {}
 
   store::Job& job(const char* id, std::uint32_t tasks, std::function<void(wire::JobSpec&)> change = {}) {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -91,6 +91,13 @@
       for (int n = 0; n < 500 && call(i, "GET", "/up").status != 200; ++n)
         io.run_for(std::chrono::milliseconds(10));
   }
+  // Ends the first node for good: its hold runs out as well.
+  void end_first() {
+    run_until([&] { return state.hold_of("beaconsill/alive/n0").has_value(); }, "n0 is alive");
+    nodes[0]->stop();
+    nodes[0].reset();
+    state.expire(*state.hold_of("beaconsill/alive/n0"));
+  }
   static std::string job(const std::string& id, const char* kind, int tasks) {
     return Json{{"ref", id},        {"berth", "c"},         {"crew", "blue"},
                 {"shape", kind},    {"precedence", "high"}, {"lamps", tasks},
@@ -197,10 +204,7 @@
 TEST(EndToEnd, APartThatCannotGoHomeIsStillAnswered) {
   World w;
   w.healthy();
-  w.run_until([&] { return w.state.hold_of("beaconsill/alive/n0").has_value(); }, "n0 is alive");
-  w.nodes[0]->stop();
-  w.nodes[0].reset();
-  w.state.expire(*w.state.hold_of("beaconsill/alive/n0"));
+  w.end_first();
   auto owner = [&](const char* part) {
     auto it = w.state.keys.find(std::string("beaconsill/roles/part/") + part);
     return it == w.state.keys.end() ? std::string() : it->second.first["node"].get<std::string>();
@@ -241,10 +245,7 @@
   w.call(0, "POST", "/v1/jobs", World::job("run-7", "daemon", 8));
   auto started = [&] { return w.workers[0]->started + w.workers[1]->started; };
   w.run_until([&] { return started() == 8; }, "eight replicas run");
-  w.run_until([&] { return w.state.hold_of("beaconsill/alive/n0").has_value(); }, "n0 is alive");
-  w.nodes[0]->stop();
-  w.nodes[0].reset();
-  w.state.expire(*w.state.hold_of("beaconsill/alive/n0"));
+  w.end_first();
   w.run_until(
       [&] {
         auto it = w.state.keys.find("beaconsill/roles/part/0");
