--- a/src/base/types.h
+++ b/src/base/types.h
@@ -123,6 +123,7 @@
 
 enum class JobKind { kArray, kGang, kService };
 enum class Priority { kLow, kNormal, kHigh, kProduction };
+constexpr std::size_t kPriorities = 4;
 
 }  // namespace beaconsill
 
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -42,7 +42,7 @@
 }
 
 void Lead::ledger(const Entry& e, int sign) {
-  usage_[e.record.spec->team] += e.record.spec->each * (sign * static_cast<double>(e.outstanding));
+  usage_[e.record.spec->team] += e.record.spec->each * (sign * static_cast<double>(e.charged));
 }
 
 void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now) {
@@ -50,6 +50,7 @@
   if (it != jobs_.end()) ledger(it->second, -1);
   if (!job || !job->record.spec) {
     if (it != jobs_.end()) jobs_.erase(it);
+    told_.erase(id);
     return;
   }
   bool fresh = it == jobs_.end();
@@ -60,19 +61,40 @@
   e.grants = job->grants.value;
   e.grants_version = job->grants.version;
   e.granted_once = job->grants.exists();
-  e.done = job->done();
+  const Ranges recorded = job->done();
+  e.done = recorded;
+  const auto told = told_.find(id);
+  // That a task is done stays true whoever owns the part.
+  if (told != told_.end())
+    for (const auto& [part, t] : told->second) e.done.add(t.progress.done);
   e.live.clear();
+  e.kept.clear();
+  e.out = e.told_returned = e.charged = 0;
+  e.told_by.clear();
   Ranges out;
   for (const auto& c : e.grants.chunks) {
     Ranges r = c.tasks;
     if (auto p = job->progress.find(c.part); p != job->progress.end())
       r.remove(store::given_back(p->second.value, c.generation));
+    r.remove(recorded);
+    auto granted = r.count();
+    e.charged += granted;
+    if (told != told_.end())
+      if (auto t = told->second.find(c.part); t != told->second.end())
+        r.remove(store::given_back(t->second.progress, c.generation));
+    if (r.count() < granted) {
+      e.told_returned += granted - r.count();
+      e.told_by.insert(c.part);
+    }
+    if (r.empty()) continue;
+    e.kept.emplace_back(r, c);
     r.remove(e.done);
     if (r.empty()) continue;
+    e.out += r.count();
     out.add(r);
     e.live.emplace_back(std::move(r), c);
   }
-  e.outstanding = out.count();
+  if (end) e.charged = e.out;
   e.pending = Ranges();
   if (!end) {
     e.pending = Ranges::span(0, e.record.spec->tasks);
@@ -88,6 +110,42 @@
   ledger(e, +1);
 }
 
+void Lead::on_outcomes(const wire::Outcomes& o) {
+  auto known = terms_.find(o.part);
+  bool present = known != terms_.end() && known->second == o.term;
+  for (const auto& j : o.jobs) {
+    auto& t = told_[j.job][o.part];
+    t.progress.done.add(j.done);
+    if (!present) continue;
+    if (t.term != o.term) t.progress.returned.clear();
+    t.term = o.term;
+    // Copies may come late and in any order: what was returned under a generation stays so.
+    for (const auto& r : j.returned) {
+      auto it = std::find_if(t.progress.returned.begin(), t.progress.returned.end(),
+                             [&](const auto& x) { return x.generation == r.generation; });
+      if (it == t.progress.returned.end()) {
+        t.progress.returned.push_back(r);
+      } else {
+        it->tasks.add(r.tasks);
+      }
+    }
+  }
+}
+
+std::vector<JobId> Lead::on_terms(const std::map<PartId, Term>& terms) {
+  std::vector<JobId> touched;
+  if (terms == terms_) return touched;
+  terms_ = terms;
+  for (auto& [id, parts] : told_)
+    for (auto& [part, t] : parts) {
+      auto now = terms_.find(part);
+      if (t.progress.returned.empty() || (now != terms_.end() && now->second == t.term)) continue;
+      t.progress.returned.clear();
+      touched.push_back(id);
+    }
+  return touched;
+}
+
 void Lead::on_summary(const wire::Summary& s, Instant) {
   auto& have = summaries_[s.part];
   if (s.term >= have.term) have = s;
@@ -106,12 +164,10 @@
   for (const auto& [id, e] : jobs_) {
     const auto& spec = *e.record.spec;
     if (e.end || spec.kind == JobKind::kService) continue;
-    cpus += spec.each.cpus * e.outstanding;
+    cpus += spec.each.cpus * e.out;
     if (e.pending.empty()) continue;
-    TimedJob t{id,
-               spec.each.cpus * spec.estimate_s * (e.pending.count() + kUnderWay * e.outstanding),
-               spec.estimate_s,
-               {}};
+    TimedJob t{
+        id, spec.each.cpus * spec.estimate_s * (e.pending.count() + kUnderWay * e.out), spec.estimate_s, {}};
     for (auto due : e.due_ms) t.due.push_back(static_cast<double>(due - wall.value()) / 1000);
     timed.push_back(std::move(t));
   }
@@ -164,7 +220,9 @@
 
 std::uint32_t Lead::allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const {
   const auto& spec = *e.record.spec;
-  double n = kWindow > e.outstanding ? kWindow - e.outstanding : 0;
+  // What was told to be returned leaves the ledger only by the write that grants it anew: until then the
+  // part's next owner, who doesn't know of it, may start it.
+  double n = kWindow > e.charged ? kWindow - e.charged : 0;
   for (const auto& t : teams_) {
     if (t.name != spec.team) continue;
     auto it = usage.find(t.name);
@@ -174,7 +232,8 @@
     if (t.gpus_max > 0 && spec.each.gpus > 0)
       n = std::min(n, std::floor((t.gpus_max - used.gpus) / spec.each.gpus + kSlack));
   }
-  return n <= 0 ? 0 : static_cast<std::uint32_t>(n);
+  n = std::max(n, 0.0) + e.told_returned;
+  return static_cast<std::uint32_t>(n);
 }
 
 std::vector<Room> Lead::rooms_for_gang(std::uint32_t n, std::vector<Room> rooms) {
@@ -214,12 +273,12 @@
 
     bool gang = spec.kind == JobKind::kGang;
     if (gang && want < e.pending.count()) continue;
-    if (gang && e.outstanding > 0) {
+    if (gang && !e.live.empty()) {
       if (e.grants.recall || now - e.waiting_since < 2 * params_.report_period) continue;
-      Grant g{job->first, {}, e.grants_version};
+      Grant g{job->first, {}, e.grants_version, e.told_by};
       g.grants.last = e.grants.last;
       g.grants.recall = true;
-      for (const auto& [tasks, chunk] : e.live) {
+      for (const auto& [tasks, chunk] : e.kept) {
         g.grants.chunks.push_back(chunk);
         g.grants.chunks.back().tasks = tasks;
       }
@@ -231,7 +290,7 @@
     bool zoned = spec.one_zone || spec.spread;
     std::map<Zone, std::uint32_t> in_zone;
     if (zoned)
-      for (const auto& [tasks, chunk] : e.live)
+      for (const auto& [tasks, chunk] : e.kept)
         if (chunk.zone) in_zone[*chunk.zone] += tasks.count();
 
     std::vector<Room> warm, free, preemptible, warm_preemptible;
@@ -325,9 +384,10 @@
       by_force = split(want - placed, by_force_where_warm ? warm_preemptible : preemptible);
     if (shares.empty() && by_force.empty()) continue;
 
-    Grant g{job->first, {}, e.grants_version};
+    Grant g{job->first, {}, e.grants_version, e.told_by};
     g.grants.last = e.grants.last;
-    for (const auto& [tasks, chunk] : e.live) {
+    usage[spec.team] -= spec.each * static_cast<double>(e.told_returned);
+    for (const auto& [tasks, chunk] : e.kept) {
       g.grants.chunks.push_back(chunk);
       g.grants.chunks.back().tasks = tasks;
     }
@@ -390,7 +450,7 @@
 std::vector<JobId> Lead::drained() const {
   std::vector<JobId> out;
   for (const auto& [id, e] : jobs_)
-    if (e.end && e.outstanding == 0) out.push_back(id);
+    if (e.end && e.live.empty()) out.push_back(id);
   return out;
 }
 
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -35,6 +35,11 @@
 
   // ---- What happens
   void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
+  // What an owner told of tasks that it was granted. Each of its jobs is then to be gone through again by
+  // on_job, and those returned by on_terms as well.
+  void on_outcomes(const wire::Outcomes& o);
+  // The parts' terms. What was told as returned under another term counts no more.
+  std::vector<JobId> on_terms(const std::map<PartId, Term>& terms);
   void on_summary(const wire::Summary& s, Instant now);
   void on_answer(const wire::Answer& a, Instant now);
 
@@ -45,6 +50,9 @@
     JobId job;
     store::Grants grants;
     Revision expected;  // version of the grants that it replaces
+    // It rests on what the owners of these parts told under their present terms: it must not be written under
+    // any other, since a successor doesn't know what was returned.
+    std::set<PartId> rests_on;
   };
   // The round's outcome, once every part has answered or was waited for long enough. `terms`: of each part.
   std::optional<std::vector<Grant>> decide(Instant now, const std::map<PartId, Term>& terms);
@@ -74,8 +82,13 @@
     Revision grants_version;
     Ranges pending;
     Ranges done;
-    std::vector<std::pair<Ranges, store::Chunk>> live;  // chunks less what was done or returned
-    std::uint32_t outstanding = 0;
+    // The chunks less what was done or returned, and what they have to go on holding: also tasks that their
+    // owner told to be done, until it has recorded that.
+    std::vector<std::pair<Ranges, store::Chunk>> live, kept;
+    std::uint32_t out = 0;             // tasks in `live`
+    std::uint32_t told_returned = 0;   // tasks returned by word only
+    std::uint32_t charged = 0;         // tasks in the ledger
+    std::set<PartId> told_by;          // the parts that have told so
     std::vector<std::int64_t> due_ms;  // when it should be complete, the first time first
     bool granted_once = false;
     Instant waiting_since{};
@@ -106,7 +119,15 @@
   std::vector<config::TeamSettings> teams_;
   std::vector<config::Objective> objectives_;
   std::map<JobId, Entry> jobs_;
-  std::map<Team, Resources> usage_;  // granted, and neither done nor returned
+  struct Told {
+    Term term;
+    store::Progress progress;
+  };
+  std::map<JobId, std::map<PartId, Told>> told_;
+  std::map<PartId, Term> terms_;
+  // What is granted, and by the record neither done nor returned. Word of it counts only for jobs that are
+  // over: of others a part's next owner, who may not know, could start it again.
+  std::map<Team, Resources> usage_;
   std::map<PartId, wire::Summary> summaries_;
   std::map<PartId, std::vector<Sent>> sent_;  // grants that a part's answers may not reckon with yet
   std::optional<Round> round_;
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -51,6 +51,7 @@
                            from_seconds(ctx_.settings.list_lag_s), ctx_.policy.task_cap},
       "t" + std::to_string(term.value()) + "-");
   capacity_->set_catalogue(ctx_.catalogue);
+  lead_->on_terms(terms());
   for (const auto& [part, s] : summaries_) lead_->on_summary(s, ctx_.now());
   for (const auto& [id, job] : ctx_.view().jobs()) lead_->on_job(id, &job, ctx_.view().end(id), ctx_.now());
   list_machines();
@@ -81,8 +82,28 @@
 
 void LeaderDuty::on_view(const store::View::Touched& t) {
   if (!lead_) return;
-  for (const auto& id : t.jobs) lead_->on_job(id, ctx_.view().job(id), ctx_.view().end(id), ctx_.now());
-  if (!t.jobs.empty()) kick();
+  std::set<JobId> jobs = t.jobs;
+  if (t.roles)
+    for (auto& id : lead_->on_terms(terms())) jobs.insert(id);
+  go_through(jobs);
+}
+
+void LeaderDuty::go_through(const std::set<JobId>& jobs) {
+  for (const auto& id : jobs) lead_->on_job(id, ctx_.view().job(id), ctx_.view().end(id), ctx_.now());
+  if (!jobs.empty()) kick();
+}
+
+void LeaderDuty::on_outcomes(const wire::Outcomes& o) {
+  if (!lead_) return;
+  wire::Outcomes known{o.part, o.term, {}};
+  std::set<JobId> jobs;
+  for (const auto& j : o.jobs)
+    if (ctx_.view().job(j.job)) {
+      known.jobs.push_back(j);
+      jobs.insert(j.job);
+    }
+  lead_->on_outcomes(known);
+  go_through(jobs);
 }
 
 void LeaderDuty::on_answer(const wire::Answer& a) {
@@ -145,6 +166,10 @@
   if (!grants || grants->empty()) return;
   wire::Txn t;
   t.conditions.push_back(*leader);
+  std::set<PartId> rests_on;
+  for (const auto& g : *grants) rests_on.insert(g.rests_on.begin(), g.rests_on.end());
+  for (auto part : rests_on)
+    t.conditions.push_back({store::part_role_key(part), ctx_.view().part_role(part).version});
   for (const auto& g : *grants) {
     t.conditions.push_back({store::grants_key(g.job), g.expected});
     t.conditions.push_back({store::end_key(g.job), Revision()});
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -24,6 +24,7 @@
 
   void on_view(const store::View::Touched& t);
   void on_answer(const wire::Answer& a);
+  void on_outcomes(const wire::Outcomes& o);
   void on_summary(const wire::Summary& s);
   void on_catalogue();
   void kick();
@@ -31,6 +32,7 @@
  private:
   // The ledger is whole only once everything was read that earlier leaders wrote.
   void read_all();
+  void go_through(const std::set<JobId>& jobs);
   void pump();
   void rounds();
   void write_ends();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -48,7 +48,11 @@
                                                     s.cloud_rps / static_cast<double>(s.controllers()));
   peers_ = std::make_unique<PeersDuty>(
       ctx_, [this](const wire::PeerMessage& m) { on_peer(m); }, [this] { return workers_->owned(); });
-  workers_ = std::make_unique<WorkersDuty>(ctx_, *peers_);
+  workers_ = std::make_unique<WorkersDuty>(ctx_, *peers_, [this](wire::Outcomes o) {
+    const auto& leader = ctx_.view().leader().value.node;
+    if (leader == ctx_.settings.node) return leader_->on_outcomes(o);
+    peers_->send(leader, std::move(o));
+  });
   leader_ = std::make_unique<LeaderDuty>(ctx_, *peers_, *workers_);
   roles_ = std::make_unique<RolesDuty>(ctx_, RolesDuty::Hooks{
                                                  [this](PartId p, Term t) { workers_->own(p, t); },
@@ -138,6 +142,8 @@
     workers_->on_relay(m.from, *relay);
   } else if (const auto* relayed = std::get_if<wire::Relayed>(&m.body)) {
     workers_->on_relayed(*relayed);
+  } else if (const auto* outcomes = std::get_if<wire::Outcomes>(&m.body)) {
+    leader_->on_outcomes(*outcomes);
   } else if (const auto* gone = std::get_if<wire::Gone>(&m.body)) {
     workers_->on_gone(gone->machines);
   }
@@ -179,14 +185,14 @@
   }
 }
 
-// The limits of state service and cloud hold for all nodes together: the leader, which writes most, gets
-// half.
+// The limits of state service and cloud hold for all nodes together. The leader writes most, but all nodes
+// read much the same.
 void Node::adjust_shares() {
   double n = static_cast<double>(ctx_.settings.controllers());
   if (n < 2) return;
-  double share = leader_->leading() ? 0.5 : 0.5 / (n - 1);
-  ctx_.store->set_share(share);
-  ctx_.cloud->set_rate(ctx_.settings.cloud_rps * share);
+  auto share = [&](double leader) { return leader_->leading() ? leader : (1 - leader) / (n - 1); };
+  ctx_.store->set_shares(share(std::max(0.4, 1 / n)), share(0.6));
+  ctx_.cloud->set_rate(ctx_.settings.cloud_rps * share(0.5));
 }
 
 }  // namespace beaconsill::node
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -1,23 +1,28 @@
 #include "node/workers.h"
 
-#include <asio/post.hpp>
-
 #include "base/log.h"
 
 namespace beaconsill::node {
 namespace {
 constexpr Duration kTick = std::chrono::milliseconds(100);
+// What comes within so short a time is dealt with in one go: dozens of reports and answers come each second.
+constexpr Duration kGatherEvents = std::chrono::milliseconds(10);
 constexpr Duration kCommandTimeout = std::chrono::seconds(2);
-// Tasks that completed are gathered this long for each job, unless something waits for them.
+// Progress is written so long after it was made: at the longest if the leader has been told of it, since then
+// only a successor of this owner needs the record, and most jobs are over before.
 constexpr Duration kGather = std::chrono::milliseconds(1000);
+constexpr Duration kGatherTold = std::chrono::seconds(20);
+constexpr Duration kWriteCheck = std::chrono::milliseconds(500);
+// Everything unwritten is told again so often, lest a message was lost.
+constexpr Duration kTellAgain = std::chrono::seconds(2);
 // Left of the time for a cancellation after the word of it and the lease, for whatever is slow.
 constexpr double kCancelMargin_s = 3;
 constexpr Duration kRelayWait = std::chrono::milliseconds(800);
 constexpr std::size_t kMaxRelayed = 256;
 }  // namespace
 
-WorkersDuty::WorkersDuty(Context& ctx, PeersDuty& peers)
-    : ctx_(ctx), peers_(peers), tick_(ctx.io, [this] { pump(); }) {}
+WorkersDuty::WorkersDuty(Context& ctx, PeersDuty& peers, std::function<void(wire::Outcomes)> tell)
+    : ctx_(ctx), peers_(peers), tell_(std::move(tell)), tick_(ctx.io, [this] { tick(); }), soon_(ctx.io) {}
 
 void WorkersDuty::start() {
   tick_.start(kTick);
@@ -26,6 +31,7 @@
 void WorkersDuty::stop() {
   stopped_ = true;
   tick_.stop();
+  soon_.cancel();
   for (auto& [name, c] : channels_) c.client->stop();
   channels_.clear();
 }
@@ -227,12 +233,39 @@
 void WorkersDuty::kick() {
   if (kicked_ || stopped_) return;
   kicked_ = true;
-  asio::post(ctx_.io, [this] {
+  soon_.expires_after(kGatherEvents);
+  soon_.async_wait([this](std::error_code ec) {
+    if (ec) return;
     kicked_ = false;
-    if (!stopped_) pump();
+    pump();
   });
 }
 
+// What can wait for a moment.
+void WorkersDuty::tick() {
+  pump();
+  for (auto& [id, o] : parts_) {
+    tell_leader(id, o);
+    write_registry(id, o);
+    write_progress(id, o);
+    remove_machines(id, o);
+  }
+}
+
+// What counts for the ledger is told to the leader at once; the record follows when it's of use.
+void WorkersDuty::tell_leader(PartId id, Owned& o) {
+  if (o.part->superseded()) return;
+  const auto& leader = ctx_.view().leader();
+  if (!leader.exists()) return;
+  bool all = ctx_.now() >= o.tell_all || o.told != leader.value.term;
+  if (all) {
+    o.tell_all = ctx_.now() + kTellAgain;
+    o.told = leader.value.term;
+  }
+  auto jobs = o.part->outcomes(all);
+  if (!jobs.empty()) tell_({id, o.part->term(), std::move(jobs)});
+}
+
 void WorkersDuty::pump() {
   for (auto it = relayed_.begin(); it != relayed_.end();) {
     if (ctx_.now() < it->second.until) {
@@ -246,9 +279,6 @@
     read_registry(id, o);
     o.part->tick(ctx_.now(), word(), ctx_.mirror->word());
     for (auto& b : o.part->take_batches(ctx_.now())) send(id, std::move(b));
-    write_registry(id, o);
-    write_progress(id, o);
-    remove_machines(id, o);
   }
 }
 
@@ -318,27 +348,30 @@
 
 void WorkersDuty::write_progress(PartId id, Owned& o) {
   if (o.writing) return;
+  auto now = ctx_.now();
+  if (now < o.write_next) return;
+  o.write_next = now + kWriteCheck;
   auto unwritten = o.part->unwritten();
+  std::erase_if(o.unwritten, [&](const auto& u) { return !unwritten.contains(u.first); });
   if (unwritten.empty()) return;
   const auto& role = ctx_.view().part_role(id);
   if (!role.exists() || role.value.term != o.part->term()) return;
-  auto now = ctx_.now();
+  const auto& leader = ctx_.view().leader();
+  auto patience = leader.exists() && peers_.reachable(leader.value.node) ? kGatherTold : kGather;
   wire::Txn t;
   t.conditions.push_back({store::part_role_key(id), role.version});
   for (auto& [job, progress] : unwritten) {
-    auto last = o.written.find(job);
-    if (last != o.written.end() && now - last->second < kGather && !o.part->finished_with(job)) continue;
+    auto since = o.unwritten.try_emplace(job, now).first->second;
+    if (now - since < patience) continue;
     const auto* record = ctx_.view().job(job);
     if (!record) continue;
     auto key = store::progress_key(id, job);
     auto have = record->progress.find(id);
     t.conditions.push_back({key, have == record->progress.end() ? Revision() : have->second.version});
     t.writes.push_back({key, store::to_json(progress), std::nullopt});
-    o.written[job] = now;
     if (t.writes.size() >= std::min<std::size_t>(ctx_.settings.txn_ops, 6)) break;
   }
   if (t.writes.empty()) return;
-  std::erase_if(o.written, [&](const auto& w) { return now - w.second > kGather * 4; });
   o.writing = true;
   auto term = o.part->term();
   ctx_.store->txn(t, store::Urgency::kWork, [this, id, term, t](store::TxnResult r) {
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -13,7 +13,8 @@
 
 class WorkersDuty {
  public:
-  WorkersDuty(Context& ctx, PeersDuty& peers);
+  // `tell`: hands the leader what became of granted tasks.
+  WorkersDuty(Context& ctx, PeersDuty& peers, std::function<void(wire::Outcomes)> tell);
   void start();
   void stop();
 
@@ -33,7 +34,7 @@
   void on_ask(const wire::Ask& a, const std::function<void(wire::Answer)>& answer);
   void on_gone(const std::vector<MachineName>& names);
   void on_release(const std::vector<MachineName>& names);
-  // Carries out whatever is to be done, soon.
+  // Carries out whatever is to be done, within a few milliseconds.
   void kick();
   std::vector<wire::Summary> summaries() const;
   std::uint32_t running(const JobId& id) const;
@@ -45,14 +46,19 @@
     bool registering = false;
     bool read = false;  // the state service was read after the term was written
     bool reading = false;
-    std::map<JobId, Instant> written;  // when a job's progress was last written
+    Instant write_next{};  // when progress is looked through again for what is to be written
+    Instant tell_all{};
+    Term told;                           // of the leader that was told everything
+    std::map<JobId, Instant> unwritten;  // since when
   };
   struct Channel {
     std::string address;
     std::shared_ptr<net::HttpClient> client;
   };
+  void tick();
   void pump();
   void send(PartId part, part::Part::Batch b);
+  void tell_leader(PartId part, Owned& o);
   void write_progress(PartId part, Owned& o);
   void write_registry(PartId part, Owned& o);
   void remove_machines(PartId part, Owned& o);
@@ -70,7 +76,9 @@
 
   Context& ctx_;
   PeersDuty& peers_;
+  std::function<void(wire::Outcomes)> tell_;
   Repeater tick_;
+  asio::steady_timer soon_;
   std::map<PartId, Owned> parts_;
   std::map<MachineName, Channel> channels_;
   struct Pending {
--- a/src/part/machine.cpp
+++ b/src/part/machine.cpp
@@ -17,27 +17,17 @@
   }
 }
 
-namespace {
-template <class Pred>
-Resources sum_of(const std::map<TaskKey, TaskOn>& tasks, Pred counts) {
-  Resources r;
-  for (const auto& [id, t] : tasks)
-    if (t.spec && t.state != wire::TaskState::kEnded && counts(t)) r += t.spec->each;
-  return r;
-}
-}  // namespace
-
-Resources Machine::used() const {
-  return sum_of(tasks, [](const TaskOn&) { return true; });
-}
-
-Resources Machine::used_from(Priority p) const {
-  return sum_of(tasks, [p](const TaskOn& t) { return t.spec->priority >= p; });
-}
-
-std::size_t Machine::live_tasks() const {
-  return static_cast<std::size_t>(std::count_if(
-      tasks.begin(), tasks.end(), [](const auto& t) { return t.second.state != wire::TaskState::kEnded; }));
+const Machine::Load& Machine::load() const {
+  if (load_) return *load_;
+  load_.emplace();
+  for (const auto& [key, t] : tasks) {
+    if (t.state == wire::TaskState::kEnded) continue;
+    ++load_->tasks;
+    if (!t.spec) continue;
+    for (std::size_t p = 0; p <= static_cast<std::size_t>(t.spec->priority); ++p)
+      load_->used_from[p] += t.spec->each;
+  }
+  return *load_;
 }
 
 }  // namespace beaconsill::part
--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -1,6 +1,7 @@
 // An owner's books about one machine of its part.
 #pragma once
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,10 +67,10 @@
   // From reports.
   Session session;
   Sequence sequence;
-  Token seen;                // highest token that the worker is known to have seen
-  bool reported = false;     // under this owner's term: no earlier owner is obeyed any more
-  Instant heard{};           // last report, or when the owner began to wait for one
-  Instant answered{};        // last answer to a report
+  Token seen;             // highest token that the worker is known to have seen
+  bool reported = false;  // under this owner's term: no earlier owner is obeyed any more
+  Instant heard{};        // last report, or when the owner began to wait for one
+  Instant answered{};  // last answer to a report; whether the worker got it is another matter, see `doubted`
   Instant heard_directly{};  // last report that was not relayed by another controller
   Instant redirected{};      // when the worker was last pointed here, or first answered by way of another
   std::optional<Instant> taken_at;  // spot notice
@@ -80,11 +81,14 @@
   enum class Channel {
     kIdle,
     kBusy,    // a batch is under way
-    kFencing  // a batch had no answer: what it started is settled once the worker has seen a higher token
+    kFencing  // it's in doubt that the worker hears: what was sent is settled once it has seen a higher token
   };
   Channel channel = Channel::kIdle;
-  Token token;  // the highest given out; reports are answered with it
-  std::optional<Instant> retry_at;
+  Token token;                      // the highest given out; reports are answered with it
+  std::optional<Instant> retry_at;  // when to call on the worker by an empty batch
+  // Word from a machine doesn't show that it hears: since when that is in doubt, until it shows a raised
+  // token.
+  std::optional<Instant> doubted;
 
   bool registered = false;  // in the state service, so that a successor waits for it
   bool closed = false;      // takes no more tasks: to be returned
@@ -94,15 +98,26 @@
   Instant idle_since{};
   std::map<JobId, Instant> errors;  // jobs that failed here, and when last
 
-  Resources used() const;
+  // What the tasks on it take. It's asked for far more often than it changes: whoever changes `tasks`, or
+  // what in them counts here, calls `changed`.
+  const Resources& used() const { return load().used_from[0]; }
   // Used by tasks whose priority is at least `p`: what stopping lower work can't free.
-  Resources used_from(Priority p) const;
-  std::size_t live_tasks() const;
+  const Resources& used_from(Priority p) const { return load().used_from[static_cast<std::size_t>(p)]; }
+  std::size_t live_tasks() const { return load().tasks; }
+  void changed() { load_.reset(); }
   bool usable(Instant now) const {
     return reported && registered && type_known && !closed && !sick && !deleting && !taken_at &&
            now - heard < quiet && channel != Channel::kFencing;
   }
   Duration quiet = std::chrono::seconds(4);  // without a report for this long it gets no new tasks
+
+ private:
+  struct Load {
+    std::array<Resources, kPriorities> used_from;
+    std::size_t tasks = 0;
+  };
+  const Load& load() const;
+  mutable std::optional<Load> load_;
 };
 
 }  // namespace beaconsill::part
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -16,11 +16,16 @@
 constexpr double kDrift = 1.002;
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(500);
 constexpr Duration kProbeAgain = std::chrono::seconds(1);
+// A worker waits 4 s for an answer to its report: after a longer pause it has most likely waited in vain.
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(3900);
+// For so many leases a whole zone that is silent is taken to be cut off rather than gone.
+constexpr int kCutOffLeases = 2;
 constexpr Duration kDeleteAgain = std::chrono::seconds(2);
-// Workers that lost their node try the others one after the other, up to 4 s each.
-constexpr Duration kTakeoverPatience = std::chrono::seconds(6);
+// Left to a machine after a takeover: it's called on at once, but it may be there and not be in reach yet.
+constexpr Duration kTakeoverPatience = std::chrono::seconds(2);
 constexpr Duration kErrorMemory = std::chrono::seconds(60);
 constexpr Duration kStrayPatience = std::chrono::seconds(2);
+constexpr Duration kStrayCheck = std::chrono::milliseconds(500);
 constexpr double kMaxBackoff = 30;
 constexpr std::size_t kSickJobs = 2;     // so many jobs fail on a machine: it is the machine
 constexpr std::size_t kBadMachines = 3;  // a job fails on so many machines: it is the job
@@ -98,25 +103,31 @@
       m.idle_since = now;
       m.token = Token::first_of(term_);
       m.quiet = params_.report_period * 3;
+      m.address = r.address;
+      m.retry_at = now;
       set_type(m);
     }
   }
   for (auto& [name, m] : machines_) m.registered = written.contains(name);
-  registry_known_ = true;
+  registry_known_ = registry_dirty_ = true;
   check_rebuilt(now);
 }
 
-std::map<std::uint32_t, std::vector<store::MachineRecord>> Part::unregistered() const {
+std::map<std::uint32_t, std::vector<store::MachineRecord>> Part::unregistered() {
   std::map<std::uint32_t, std::vector<store::MachineRecord>> wanted, out;
-  if (!registry_known_) return out;
+  if (!registry_known_ || !registry_dirty_) return out;
+  // One that has only been heard of by a report under an earlier term isn't added: it may be a late copy by a
+  // machine that is gone, and would be waited for at the next takeover. Nothing is started there anyway.
   for (const auto& [name, m] : machines_)
-    wanted[store::machine_bucket(name)].push_back({m.name, m.type, m.zone, m.spot});
+    if (m.registered || m.reported)
+      wanted[store::machine_bucket(name)].push_back({m.name, m.type, m.zone, m.spot, m.address});
   for (std::uint32_t b = 0; b < store::kMachineBuckets; ++b) {
     auto it = registry_.find(b);
     auto have = it == registry_.end() ? std::vector<store::MachineRecord>{} : it->second;
     std::sort(have.begin(), have.end(), [](const auto& x, const auto& y) { return x.name < y.name; });
     if (have != wanted[b]) out[b] = wanted[b];
   }
+  registry_dirty_ = !out.empty();  // until it's seen as written
   return out;
 }
 
@@ -176,7 +187,7 @@
   if (t > term_) superseded_ = true;
 }
 
-bool Part::on_report(const wire::Report& r, Instant now) {
+bool Part::take_report(const wire::Report& r, bool hears, Instant now) {
   if (gone_.contains(r.machine)) return false;
   if (r.token.term() > term_) {
     if (!superseded_)
@@ -190,17 +201,23 @@
     spdlog::debug("{}: stale report {}/{} dropped", m.name.value(), r.session.value(), r.sequence.value());
     return false;
   }
-  if (r.session != m.session) {
+  bool lost = r.session != m.session;
+  if (lost) {
     if (!m.tasks.empty())
       spdlog::info("{}: its lease ran out, {} tasks are lost", m.name.value(), m.tasks.size());
     lose_all(m, now);
   }
+  bool waited = m.answered >= m.heard && now - m.heard >= kAnswerPatience;
   m.session = r.session;
   m.sequence = r.sequence;
   m.heard = now;
-  m.seen = std::max(m.seen, r.token);
   m.token = std::max(m.token, r.token);
-  if (r.token >= Token::first_of(term_)) m.reported = true;
+  // It reports, but its lease ran out, or it made a pause as one does that waits for an answer.
+  if (m.reported && !hears && (lost || waited)) doubt(m, now);
+  if (!m.reported && r.token >= Token::first_of(term_)) {
+    m.reported = registry_dirty_ = true;
+    m.retry_at.reset();
+  }
   if (r.notice_s) {
     auto at = now + from_seconds(*r.notice_s);
     if (!m.taken_at) spdlog::info("{}: to be taken back in {:.1f} s", m.name.value(), *r.notice_s);
@@ -232,6 +249,7 @@
     it = m.tasks.erase(it);
     requeue(key, now);
   }
+  m.changed();
   if (m.live_tasks() > 0) m.idle_since = now;
   check_rebuilt(now);
   return true;
@@ -278,7 +296,7 @@
   if (t.cause == EndCause::kDone) {
     if (auto* slot = find_slot(key.first)) {
       if (slot->status != Slot::Status::kReturned) slot->status = Slot::Status::kDone;
-      jobs_[key.first.job].dirty = true;
+      jobs_[key.first.job].mark();
     }
     return;
   }
@@ -292,11 +310,13 @@
   if (!slot || slot->status != Slot::Status::kPlaced || slot->attempt != key.second) return;
   slot->status = slot->earlier && !rebuilt_ ? Slot::Status::kHeld : Slot::Status::kWaiting;
   slot->since = now;
+  jobs_.at(key.first.job).waits = true;
 }
 
 void Part::lose_all(Machine& m, Instant now) {
   auto tasks = std::move(m.tasks);
   m.tasks.clear();
+  m.changed();
   m.channel = Machine::Channel::kIdle;
   m.retry_at.reset();
   m.idle_since = now;
@@ -326,9 +346,22 @@
   }
 }
 
+// Nothing more is started there until the worker shows that it hears, by a token raised for that: by its
+// reports alone it would pass for sound, and start after start would be sent in vain.
+void Part::doubt(Machine& m, Instant now) {
+  if (m.channel == Machine::Channel::kBusy) return;  // the batch under way will tell
+  if (m.channel != Machine::Channel::kFencing) {
+    m.channel = Machine::Channel::kFencing;
+    m.token = m.token.raised();
+    m.retry_at = now;
+  }
+  if (!m.doubted) m.doubted = now;
+}
+
 void Part::settle(Machine& m, Instant) {
   m.channel = Machine::Channel::kIdle;
   m.retry_at.reset();
+  m.doubted.reset();
   for (auto& [key, t] : m.tasks) {
     if (t.start == TaskOn::Start::kSent) t.start = TaskOn::Start::kSettled;
     t.stop_sent = t.forget_sent = false;
@@ -346,6 +379,7 @@
       if (slot.status == Slot::Status::kHeld) {
         slot.status = Slot::Status::kWaiting;
         slot.since = now;
+        job.waits = true;
         ++missing;
       }
   spdlog::info("part {}: rebuilt under term {} after {:.1f} s, {} machines, {} granted tasks on none of them",
@@ -392,7 +426,7 @@
         slot.attempt = c.gang_attempt;
         slot.since = now;
         slot.status = slot.earlier && !rebuilt_ ? Slot::Status::kHeld : Slot::Status::kWaiting;
-        pj.dirty = true;
+        pj.waits = true;
       }
   }
   std::erase_if(pj.slots, [&](const auto& s) { return !wanted.contains(s.first); });
@@ -400,14 +434,20 @@
     auto first = m.tasks.lower_bound({TaskId{id, 0}, Attempt()});
     for (auto it = first; it != m.tasks.end() && it->first.first.job == id; ++it) {
       auto& t = it->second;
-      if (!t.spec) t.spec = pj.record.spec;
+      if (!t.spec) {
+        t.spec = pj.record.spec;
+        m.changed();
+      }
       if (live(t)) {
         adopt(m, it->first, t, now);
         if (end == store::End::kCancelled) stop(t, 0);
         if (pj.recalled) stop(t, pj.record.spec->save_s);
       } else if (t.cause == EndCause::kDone) {
-        if (auto* slot = find_slot(it->first.first); slot && slot->status != Slot::Status::kReturned)
+        auto* slot = find_slot(it->first.first);
+        if (slot && slot->status != Slot::Status::kReturned && slot->status != Slot::Status::kDone) {
           slot->status = Slot::Status::kDone;
+          pj.mark();
+        }
       }
     }
   }
@@ -431,15 +471,27 @@
   return p;
 }
 
-std::map<JobId, store::Progress> Part::unwritten() const {
+std::map<JobId, store::Progress> Part::unwritten() {
   std::map<JobId, store::Progress> out;
-  for (const auto& [id, job] : jobs_) {
+  for (auto& [id, job] : jobs_) {
     if (!job.dirty) continue;
     auto p = progress_of(job);
     bool news = std::any_of(job.slots.begin(), job.slots.end(), [](const auto& s) {
       return s.second.status == Slot::Status::kDone || s.second.status == Slot::Status::kReturned;
     });
-    if (news && p != job.recorded) out[id] = std::move(p);
+    job.dirty = news && p != job.recorded;  // until it's seen as written
+    if (job.dirty) out[id] = std::move(p);
+  }
+  return out;
+}
+
+std::vector<wire::Outcome> Part::outcomes(bool all) {
+  std::vector<wire::Outcome> out;
+  for (auto& [id, job] : jobs_) {
+    if (!job.untold && !(all && job.dirty)) continue;
+    job.untold = false;
+    auto p = progress_of(job);
+    if (p != job.recorded) out.push_back({id, std::move(p.done), std::move(p.returned)});
   }
   return out;
 }
@@ -459,7 +511,7 @@
   check_leases(now, read);
   check_notices(now);
   check_gangs(now);
-  stop_strays(read);
+  if (now - strays_checked_ >= kStrayCheck) stop_strays(now, read);
   // Starting a task needs recent word of cancellations, well inside the time that they have.
   if (now - word < params_.cancel_limit / 4) place_all(now);
   give_back(now);
@@ -471,8 +523,9 @@
 void Part::check_leases(Instant now, Instant read) {
   for (auto& [name, m] : machines_) {
     if (!m.reported || m.tasks.empty()) continue;
-    auto over = std::max(m.answered, m.heard) + std::chrono::duration_cast<Duration>(params_.lease * kDrift) +
-                kLeaseMargin;
+    // Any report that was answered was sent before the newest one came: the lease can't last longer than from
+    // then on. (Answers to late copies of older reports don't lengthen it.)
+    auto over = m.heard + std::chrono::duration_cast<Duration>(params_.lease * kDrift) + kLeaseMargin;
     if (now <= over || read <= over || superseded_) continue;
     spdlog::info("{}: silent beyond its lease, its {} tasks are gone", name.value(), m.tasks.size());
     lose_all(m, now);
@@ -507,7 +560,8 @@
 }
 
 // Tasks on a machine that are not granted to this part, or whose job is over.
-void Part::stop_strays(Instant read) {
+void Part::stop_strays(Instant now, Instant read) {
+  strays_checked_ = now;
   for (auto& [name, m] : machines_) {
     for (auto& [key, t] : m.tasks) {
       auto job = jobs_.find(key.first.job);
@@ -537,10 +591,10 @@
 void Part::place_all(Instant now) {
   std::vector<std::pair<JobId, PartJob*>> waiting;
   for (auto& [id, job] : jobs_) {
-    if (job.end || now < job.not_before) continue;
-    if (std::any_of(job.slots.begin(), job.slots.end(),
-                    [](const auto& s) { return s.second.status == Slot::Status::kWaiting; }))
-      waiting.emplace_back(id, &job);
+    if (!job.waits || job.end || now < job.not_before) continue;
+    job.waits = std::any_of(job.slots.begin(), job.slots.end(),
+                            [](const auto& s) { return s.second.status == Slot::Status::kWaiting; });
+    if (job.waits) waiting.emplace_back(id, &job);
   }
   auto due = [](const PartJob& j) {
     return j.record.submitted.value() +
@@ -551,7 +605,8 @@
     if (pa != pb) return pa > pb;
     return due(*a.second) < due(*b.second);
   });
-  for (auto& [id, job] : waiting) place_job(id, *job, now);
+  Full full;
+  for (auto& [id, job] : waiting) place_job(id, *job, full, now);
 }
 
 // A gang's share is placed as a whole or not at all, and once under each attempt.
@@ -572,6 +627,7 @@
   for (auto [n, m] : placed) {
     auto& slot = job.slots.at(n);
     m->tasks.erase({TaskId{id, n}, slot.attempt});
+    m->changed();
     slot.status = Slot::Status::kWaiting;
     slot.started = false;
   }
@@ -600,15 +656,24 @@
   }
 }
 
-void Part::place_job(const JobId& id, PartJob& job, Instant now) {
+void Part::place_job(const JobId& id, PartJob& job, Full& full, Instant now) {
   if (job.record.spec->kind == JobKind::kGang) return place_gang(id, job, now);
   auto shape = shape_of(*job.record.spec, 1);
-  std::set<std::optional<Zone>> full;
+  // One that needs no less, and may use no other machines, won't fit either.
+  auto no_room = [&](const std::optional<Zone>& z) {
+    return std::any_of(full.begin(), full.end(), [&](const auto& f) {
+      const auto& s = f.first;
+      return f.second == z && s.types == shape.types && s.zone == shape.zone && s.spot == shape.spot &&
+             s.priority == shape.priority && s.each.cpus <= shape.each.cpus &&
+             s.each.gpus <= shape.each.gpus && s.each.memory_gb <= shape.each.memory_gb;
+    });
+  };
   Machine* m = nullptr;
   std::uint32_t room = 0;
   std::optional<Zone> zone;
   for (auto& [n, slot] : job.slots) {
-    if (slot.status != Slot::Status::kWaiting || full.contains(slot.zone)) continue;
+    if (slot.status != Slot::Status::kWaiting || (!slot.preempt && !slot.target && no_room(slot.zone)))
+      continue;
     TaskId task{id, n};
     // A guard against every mistake above: what any machine still lists is not started.
     bool present = std::any_of(machines_.begin(), machines_.end(), [&](const auto& x) {
@@ -639,7 +704,11 @@
       if (room == 0 && preempt_for(job, slot, false, now)) continue;
     }
     if (room == 0) {
-      full.insert(slot.zone);
+      // A job that failed on machines avoids them: that they have no room for it says nothing of others.
+      if (job.failed_on.empty())
+        full.emplace_back(shape, slot.zone);
+      else
+        break;
       continue;
     }
     start(*m, task, job, slot, now);
@@ -657,6 +726,7 @@
   t.start = TaskOn::Start::kQueued;
   t.spec = job.record.spec;
   t.since = now;
+  m.changed();
   m.idle_since = now;
 }
 
@@ -713,11 +783,12 @@
 
 void Part::give_back(Instant now) {
   for (auto& [id, job] : jobs_) {
+    if (!job.waits) continue;
     for (auto& [n, slot] : job.slots) {
       if (slot.status != Slot::Status::kWaiting) continue;
       if (!job.end && !job.recalled && now - slot.since < params_.report_period) continue;
       slot.status = Slot::Status::kReturned;
-      job.dirty = true;
+      job.mark();
     }
   }
 }
@@ -728,13 +799,15 @@
   std::vector<Batch> out;
   if (superseded_) return out;
   for (auto& [name, m] : machines_) {
-    if (m.address.empty() || !m.reported) continue;
-    if (m.channel == Machine::Channel::kFencing && m.retry_at && now >= *m.retry_at) {
+    if (m.address.empty() || m.deleting) continue;
+    // Called on: to learn whether it hears, or, after a takeover, to be obeyed and told of its tasks at once.
+    // Otherwise a worker that an owner cut off from all but its workers still answers would not come here.
+    if (m.retry_at && now >= *m.retry_at) {
       m.retry_at.reset();
-      out.push_back({name, m.address, m.session, m.token, {}});
+      out.push_back({name, m.address, std::max(m.session, Session(1)), m.token, {}});
       continue;
     }
-    if (m.channel != Machine::Channel::kIdle) continue;
+    if (m.channel != Machine::Channel::kIdle || !m.reported) continue;
     Batch b{name, m.address, m.session, {}, {}};
     for (auto& [key, t] : m.tasks) {
       if (b.commands.size() >= kMaxCommands) break;
@@ -757,6 +830,7 @@
       auto* job = find_job(e.first.first.job);
       if (job && !job->end) return false;
       requeue(e.first, now);
+      m.changed();
       return true;
     });
     if (b.commands.empty()) continue;
@@ -774,13 +848,17 @@
   auto it = machines_.find(b.machine);
   if (it == machines_.end()) return;
   auto& m = it->second;
+  if (b.commands.empty()) {
+    if (report && report->machine == b.machine) take_report(*report, true, now);
+    if (m.reported && m.channel != Machine::Channel::kFencing) return;
+    // A session that was guessed wrong is known now.
+    m.retry_at = m.session > b.session ? now : now + kProbeAgain;
+    return;
+  }
   if (m.session == b.session) {
-    if (b.commands.empty()) {
-      if (m.channel == Machine::Channel::kFencing) m.retry_at = now + kProbeAgain;
-    } else if (result == CommandResult::kNoAnswer) {
-      m.channel = Machine::Channel::kFencing;
-      m.token = m.token.raised();
-      m.retry_at = now;
+    if (result == CommandResult::kNoAnswer) {
+      m.channel = Machine::Channel::kIdle;
+      doubt(m, now);
     } else {
       m.channel = Machine::Channel::kIdle;
       for (const auto& c : b.commands) {
@@ -792,6 +870,7 @@
           // Refused for its token or session, and so it always will be.
           auto key = t->first;
           m.tasks.erase(t);
+          m.changed();
           requeue(key, now);
         } else {
           t->second.stop_sent = t->second.forget_sent = false;
@@ -799,30 +878,50 @@
       }
     }
   }
-  if (report && report->machine == b.machine) on_report(*report, now);
+  if (report && report->machine == b.machine) take_report(*report, true, now);
 }
 
 // ---------------------------------------------------------------- machines that go
 
-// More silent machines than single failures explain: rather this node is cut off from them.
-bool Part::widespread_silence(Instant now) const {
-  std::size_t silent = 0;
-  for (const auto& [name, m] : machines_)
-    if (now - m.heard > m.quiet) ++silent;
-  return silent >= 3 && silent * 2 > machines_.size();
+bool Part::out_of_touch(const Machine& m, Duration patience, Instant now) const {
+  return now - m.heard > patience || (m.doubted && now - *m.doubted > patience);
+}
+
+// More machines of a zone out of touch than single failures explain: rather this node is cut off from it.
+std::set<Zone> Part::cut_off_zones(Instant now) const {
+  std::map<Zone, std::pair<std::size_t, std::size_t>> count;  // out of touch, all
+  for (const auto& [name, m] : machines_) {
+    auto& [out, all] = count[m.zone];
+    ++all;
+    if (out_of_touch(m, m.quiet, now)) ++out;
+  }
+  std::set<Zone> zones;
+  for (const auto& [zone, n] : count)
+    if (n.first >= 3 && n.first * 2 > n.second) zones.insert(zone);
+  return zones;
 }
 
 std::vector<MachineName> Part::take_deletions(Instant now) {
   std::vector<MachineName> out;
   if (superseded_) return out;
-  bool cut_off = widespread_silence(now);
+  auto cut_off = cut_off_zones(now);
   for (auto& [name, m] : machines_) {
     if (m.deleting || (m.delete_retry && now < *m.delete_retry)) continue;
     auto patience = m.reported ? params_.grace : params_.grace + kTakeoverPatience;
-    bool quiet = !cut_off && now - m.heard > patience;
+    if (cut_off.contains(m.zone)) {
+      // What ran on those that have obeyed this owner ends with their leases, and they may come back. The
+      // others hold up the rebuilding, though not without end.
+      if (m.reported) continue;
+      patience = std::max(patience, params_.lease * kCutOffLeases);
+    }
+    bool quiet = out_of_touch(m, patience, now);
     bool empty = m.tasks.empty() && m.channel == Machine::Channel::kIdle;
     if (!quiet && !((m.sick || m.closed) && empty)) continue;
-    spdlog::info("{}: to be deleted ({})", name.value(), quiet ? "silent" : m.sick ? "sick" : "not needed");
+    const char* why = now - m.heard > patience ? "silent"
+                      : quiet                  ? "does not hear"
+                      : m.sick                 ? "sick"
+                                               : "not needed";
+    spdlog::info("{}: to be deleted ({})", name.value(), why);
     m.deleting = true;
     out.push_back(name);
   }
@@ -835,6 +934,7 @@
   if (it == machines_.end()) return;
   lose_all(it->second, now);
   machines_.erase(it);
+  registry_dirty_ = true;
   check_rebuilt(now);
 }
 
@@ -858,7 +958,7 @@
   // Tasks that wait here already will take their room first.
   double waiting = 0;
   for (const auto& [id, job] : jobs_) {
-    if (job.end || job.record.spec->priority < s.priority) continue;
+    if (!job.waits || job.end || job.record.spec->priority < s.priority) continue;
     for (const auto& [n, slot] : job.slots)
       if (slot.status == Slot::Status::kWaiting) waiting += job.record.spec->each.cpus;
   }
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -44,7 +44,7 @@
   // Machines registered in the state service, all buckets: first of all after taking the part over.
   void on_registry(const std::vector<store::MachineRecord>& records, Instant now);
   // A report, by the worker or in the body of an answer to commands. False: it's stale.
-  bool on_report(const wire::Report& r, Instant now);
+  bool on_report(const wire::Report& r, Instant now) { return take_report(r, false, now); }
   // What to answer a machine's report with; the lease runs anew from here.
   struct ReportAnswer {
     Token token;
@@ -79,11 +79,14 @@
 
   // ---- State
   // Jobs whose progress is to be written, with the value to write.
-  std::map<JobId, store::Progress> unwritten() const;
+  std::map<JobId, store::Progress> unwritten();
+  // The same for the leader, to whom it counts at once: what is new since the last call, or all that is
+  // unwritten.
+  std::vector<wire::Outcome> outcomes(bool all);
   // Whether the part holds no task of the job any more, once that progress is written.
   bool finished_with(const JobId& id) const;
   // Buckets of the registry to be written.
-  std::map<std::uint32_t, std::vector<store::MachineRecord>> unregistered() const;
+  std::map<std::uint32_t, std::vector<store::MachineRecord>> unregistered();
 
   // ---- Machines
   // To be deleted now, since they went quiet, are sick, closed and empty. Followed by on_deleted or
@@ -131,8 +134,13 @@
     int failures = 0;
     Instant not_before{};  // after failures
     bool dirty = false;    // its progress may differ from what is recorded
+    bool untold = false;   // the same, since the leader was told
+    bool waits = false;    // some slot may be waiting
+    void mark() { dirty = untold = true; }
   };
 
+  // `hears`: the report answers commands, so they have reached the worker.
+  bool take_report(const wire::Report& r, bool hears, Instant now);
   // The attempt is off its machine: its task may be started anew.
   void requeue(const TaskKey& key, Instant now);
   void lose_all(Machine& m, Instant now);
@@ -141,6 +149,7 @@
   void adopt(Machine& m, const TaskKey& key, TaskOn& t, Instant now);
   void update(Machine& m, const TaskKey& key, TaskOn& t, const wire::TaskReport& r, Instant now);
   void settle(Machine& m, Instant now);
+  void doubt(Machine& m, Instant now);
   void check_rebuilt(Instant now);
   void check_leases(Instant now, Instant read);
   void check_notices(Instant now);
@@ -148,17 +157,21 @@
   void place_gang(const JobId& id, PartJob& job, Instant now);
   void check_gangs(Instant now);
   void stop_mates(const JobId& id, double grace);
-  void place_job(const JobId& id, PartJob& job, Instant now);
+  // Shapes, and zones that they are bound to, for which no machine has room in this pass.
+  using Full = std::vector<std::pair<wire::Shape, std::optional<Zone>>>;
+  void place_job(const JobId& id, PartJob& job, Full& full, Instant now);
   void start(Machine& m, const TaskId& id, const PartJob& job, Slot& slot, Instant now);
   // False: there is no such machine. `warm`: only where the image is.
   bool preempt_for(const PartJob& job, Slot& slot, bool warm, Instant now);
   void give_back(Instant now);
-  void stop_strays(Instant read);
+  void stop_strays(Instant now, Instant read);
   store::Progress progress_of(const PartJob& job) const;
   void stop(TaskOn& t, double grace) { t.stop_grace = std::min(t.stop_grace.value_or(grace), grace); }
   Machine& machine(const wire::Report& r, Instant now);
   void set_type(Machine& m);
-  bool widespread_silence(Instant now) const;
+  // Neither word from it nor, if it's in doubt that it hears, a sign of that for so long.
+  bool out_of_touch(const Machine& m, Duration patience, Instant now) const;
+  std::set<Zone> cut_off_zones(Instant now) const;
   PartJob* find_job(const JobId& id);
   Slot* find_slot(const TaskId& id);
   bool durable(const TaskId& id) const;
@@ -176,6 +189,8 @@
   bool rebuilt_ = false;
   bool registry_known_ = false;
   bool superseded_ = false;
+  bool registry_dirty_ = true;  // what is registered may differ from what should be
+  Instant strays_checked_{};
 };
 
 }  // namespace beaconsill::part
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -1,6 +1,9 @@
 #include "store/client.h"
 
+#include <map>
+
 #include "base/log.h"
+#include "store/records.h"
 
 namespace beaconsill::store {
 namespace {
@@ -38,20 +41,28 @@
       clock_(clock),
       http_(std::make_shared<net::HttpClient>(io, at, kConnections)),
       limits_(limits),
-      share_(share),
+      request_share_(share),
+      write_share_(share),
       requests_(limits.rps * share, 1.0, clock.now()),
       writes_(limits.write_rps * share, 1.0, clock.now()),
       timer_(io) {}
 
-void StoreClient::set_share(double share) {
-  if (share == share_) return;
-  share_ = share;
-  requests_.set_rate(limits_.rps * share, clock_.now());
-  writes_.set_rate(limits_.write_rps * share, clock_.now());
+void StoreClient::set_shares(double requests, double writes) {
+  if (requests == request_share_ && writes == write_share_) return;
+  request_share_ = requests;
+  write_share_ = writes;
+  requests_.set_rate(limits_.rps * requests, clock_.now());
+  writes_.set_rate(limits_.write_rps * writes, clock_.now());
   pump();
 }
 
 void StoreClient::txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done) {
+  if (spdlog::should_log(spdlog::level::debug)) {
+    std::map<std::string, int> kinds;
+    for (const auto& w : t.writes)
+      ++kinds[w.key.substr(0, w.key.find('/', kPrefix.size())) + (w.value ? "" : " dropped")];
+    for (const auto& [kind, n] : kinds) spdlog::debug("state service: {} x {}", kind, n);
+  }
   Job job{"POST", "/txn", wire::render_txn(t), static_cast<double>(t.writes.size()), {}, kTimeout, {}};
   job.done = [done = std::move(done)](net::Result r) {
     TxnResult out;
@@ -122,7 +133,7 @@
   double queued = 0;
   for (std::size_t i = 0; i <= static_cast<std::size_t>(u); ++i)
     for (const auto& j : queues_[i]) queued += j.writes;
-  return from_seconds(queued / std::max(0.1, limits_.write_rps * share_));
+  return from_seconds(queued / std::max(0.1, limits_.write_rps * write_share_));
 }
 
 void StoreClient::pump() {
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -50,7 +50,7 @@
   void renew(HoldId id, std::function<void(ReadResult)> done);
 
   // This node's part of the service's limits.
-  void set_share(double share);
+  void set_shares(double requests, double writes);
   // How long a change of this urgency would wait now: what overload is judged by.
   Duration write_wait(Urgency u) const;
   void stop();
@@ -71,7 +71,7 @@
   const Clock& clock_;
   std::shared_ptr<net::HttpClient> http_;
   StoreLimits limits_;
-  double share_;
+  double request_share_, write_share_;
   Budget requests_, writes_;
   std::array<std::deque<Job>, kUrgencies> queues_;
   asio::steady_timer timer_;
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -134,8 +134,11 @@
 
 Json to_json(const std::vector<MachineRecord>& machines) {
   Json list = Json::array();
-  for (const auto& m : machines)
-    list.push_back({{"n", m.name.value()}, {"t", m.type.value()}, {"z", m.zone.value()}, {"s", m.spot}});
+  for (const auto& m : machines) {
+    Json e{{"n", m.name.value()}, {"t", m.type.value()}, {"z", m.zone.value()}, {"s", m.spot}};
+    if (!m.address.empty()) e["a"] = m.address;
+    list.push_back(std::move(e));
+  }
   return {{"machines", std::move(list)}};
 }
 
@@ -143,7 +146,8 @@
   std::vector<MachineRecord> v;
   for (const Json& e : need_list(j, "machines"))
     v.push_back({MachineName(wire::get_string(e, "n")), MachineType(wire::get_string(e, "t")),
-                 Zone(wire::get_string(e, "z")), wire::get_bool(e, "s")});
+                 Zone(wire::get_string(e, "z")), wire::get_bool(e, "s"),
+                 wire::find(e, "a") ? wire::get_string(e, "a") : std::string()});
   return v;
 }
 
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -8,6 +8,7 @@
 
 #include "base/ranges.h"
 #include "wire/api.h"
+#include "wire/peer.h"
 
 namespace beaconsill::store {
 
@@ -35,11 +36,7 @@
   Generation last;      // highest generation ever used for the job
   bool recall = false;  // gangs: all tasks are to be stopped and given back, so that it can start anew
 };
-struct Returned {
-  Generation generation;
-  Ranges tasks;
-  bool operator==(const Returned&) const = default;
-};
+using wire::Returned;
 struct Progress {
   Ranges done;
   std::vector<Returned> returned;
@@ -54,6 +51,7 @@
   MachineType type;
   Zone zone;
   bool spot = false;
+  std::string address;  // a successor calls on the worker there rather than wait for its next report
   bool operator==(const MachineRecord&) const = default;
 };
 struct JobRecord {
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -17,6 +17,7 @@
     gone @7 :Machines;
     relay @8 :Relay;
     relayed @9 :Relayed;
+    outcomes @10 :Outcomes;
   }
 }
 
@@ -123,6 +124,25 @@
   body @2 :Text;
 }
 
+# What became of tasks granted to a part, as far as its owner's record may not hold it yet.
+struct Outcomes {
+  part @0 :UInt32;
+  term @1 :UInt64;
+  jobs @2 :List(Outcome);
+}
+
+struct Outcome {
+  job @0 :Text;
+  # Sets of task numbers as in the state service.
+  done @1 :Text;
+  returned @2 :List(Returned);
+}
+
+struct Returned {
+  generation @0 :UInt64;
+  tasks @1 :Text;
+}
+
 struct Machines {
   names @0 :List(Text);
 }
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -63,6 +63,12 @@
   return s;
 }
 
+Ranges get_ranges(capnp::Text::Reader t) {
+  auto r = Ranges::parse(text(t));
+  KJ_REQUIRE(r.has_value(), "not a set of ranges");
+  return std::move(*r);
+}
+
 PeerBody get_body(peer::Message::Reader m) {
   switch (m.which()) {
     case peer::Message::HEARTBEAT: {
@@ -115,6 +121,17 @@
     }
     case peer::Message::GONE:
       return Gone{get_names(m.getGone())};
+    case peer::Message::OUTCOMES: {
+      auto r = m.getOutcomes();
+      Outcomes o{PartId(r.getPart()), Term(r.getTerm()), {}};
+      for (auto j : r.getJobs()) {
+        Outcome x{JobId(text(j.getJob())), get_ranges(j.getDone()), {}};
+        for (auto b : j.getReturned())
+          x.returned.push_back({Generation(b.getGeneration()), get_ranges(b.getTasks())});
+        o.jobs.push_back(std::move(x));
+      }
+      return o;
+    }
   }
   KJ_FAIL_REQUIRE("unknown kind of message");
 }
@@ -195,6 +212,22 @@
                    b.setBody(r.body);
                  },
                  [&](const Gone& g) { put_names(m.initGone(), g.machines); },
+                 [&](const Outcomes& o) {
+                   auto b = m.initOutcomes();
+                   b.setPart(o.part.value());
+                   b.setTerm(o.term.value());
+                   auto list = b.initJobs(o.jobs.size());
+                   for (std::size_t i = 0; i < o.jobs.size(); ++i) {
+                     const auto& x = o.jobs[i];
+                     list[i].setJob(x.job.value());
+                     list[i].setDone(x.done.str());
+                     auto back = list[i].initReturned(x.returned.size());
+                     for (std::size_t k = 0; k < x.returned.size(); ++k) {
+                       back[k].setGeneration(x.returned[k].generation.value());
+                       back[k].setTasks(x.returned[k].tasks.str());
+                     }
+                   }
+                 },
              },
              body);
 }
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/ranges.h"
 #include "base/types.h"
 
 namespace beaconsill::wire {
@@ -95,7 +96,26 @@
   std::string body;
 };
 
-using PeerBody = std::variant<Heartbeat, Nudge, Ask, Answer, Summary, Release, Gone, Relay, Relayed>;
+// Tasks of one grant that a part has given back.
+struct Returned {
+  Generation generation;
+  Ranges tasks;
+  bool operator==(const Returned&) const = default;
+};
+struct Outcome {
+  JobId job;
+  Ranges done;
+  std::vector<Returned> returned;
+};
+// What became of tasks granted to a part, as far as its owner's record may not hold it yet.
+struct Outcomes {
+  PartId part;
+  Term term;
+  std::vector<Outcome> jobs;
+};
+
+using PeerBody =
+    std::variant<Heartbeat, Nudge, Ask, Answer, Summary, Release, Gone, Relay, Relayed, Outcomes>;
 struct PeerMessage {
   NodeName from;
   PeerBody body;
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -184,6 +184,51 @@
   EXPECT_EQ(Bench::by_part(g.at(0)), (std::map<std::uint32_t, std::uint32_t>{{0, 5}, {1, 3}}));
 }
 
+// Found on a day when nine of ten changes in the state service were progress, and its limit held up
+// everything else: what owners tell counts at once. What it may count for is the point of each case.
+TEST(Outcomes, CountAtOnceAsFarAsIsSafe) {
+  auto told = [](std::uint64_t term, Ranges done, Ranges returned) {
+    return wire::Outcomes{PartId(0), Term(term), {{JobId("run-1"), done, {{Generation(1), returned}}}}};
+  };
+  Bench b(10);
+  b.lead.on_terms({{PartId(0), Term(1)}, {PartId(1), Term(1)}});
+  b.job("run-1", 10);
+  b.record(b.round(1, {{0, room(10)}, {1, {}}}), 1);
+  auto pending = [&](double t) { return b.lead.demand(at(t)); };
+  EXPECT_TRUE(pending(1).empty());
+  // A term that isn't the part's: the owner may have been replaced, and its successor start the tasks.
+  b.lead.on_outcomes(told(2, {}, Ranges::span(5, 10)));
+  b.show("run-1", 2);
+  EXPECT_TRUE(pending(2).empty());
+  b.lead.on_outcomes(told(1, Ranges::span(0, 2), Ranges::span(5, 10)));
+  b.show("run-1", 3);
+  ASSERT_EQ(pending(3).size(), 1u);
+  EXPECT_EQ(pending(3)[0].shape.wanted, 5u);
+  // Granted anew, though the ledger still holds all ten: these five are in it already. The write rests on the
+  // owner's term, and keeps what the owner has yet to record as done.
+  auto g = b.round(4, {{0, {}}, {1, room(10)}});
+  ASSERT_EQ(g.size(), 1u);
+  EXPECT_EQ(g[0].rests_on, std::set<PartId>{PartId(0)});
+  EXPECT_EQ(Bench::by_part(g[0]), (std::map<std::uint32_t, std::uint32_t>{{0, 5}, {1, 5}}));
+  // Other work gets nothing of the limit by word alone.
+  b.lead.on_granted(g, std::nullopt, at(7));
+  b.job("run-2", 1);
+  for (const auto& d : pending(8)) EXPECT_EQ(d.shape.wanted, 5u);
+  // The part's owner changes: what was told as returned counts no more, what is done stays done.
+  auto again = b.lead.on_terms({{PartId(0), Term(2)}, {PartId(1), Term(1)}});
+  EXPECT_EQ(again, std::vector<JobId>{JobId("run-1")});
+  b.show("run-1", 9);
+  EXPECT_TRUE(pending(9).empty());
+  b.lead.on_outcomes(told(2, Ranges::span(2, 10), {}));
+  b.show("run-1", 10);
+  EXPECT_EQ(b.lead.finished(), std::vector<JobId>{JobId("run-1")});
+  // Over: nobody starts any of its tasks again, so its place in the ledger is free.
+  b.show("run-1", 11, End::kDone);
+  EXPECT_EQ(b.lead.drained(), std::vector<JobId>{JobId("run-1")});
+  ASSERT_EQ(pending(12).size(), 1u);
+  EXPECT_EQ(pending(12)[0].shape.wanted, 1u);
+}
+
 TEST(Lead, WaitsForASilentPartThenUsesItsSummary) {
   Bench b;
   b.job("run-1", 4);
--- a/tests/part_test.cpp
+++ b/tests/part_test.cpp
@@ -384,6 +384,184 @@
   EXPECT_NE(again[0].commands.at(0).attempt, batches[0].commands.at(0).attempt);
 }
 
+// A machine's reports arrive, answers and commands don't reach it: word from it isn't proof that it hears.
+TEST(Hearing, NothingIsStartedWhereItIsInDoubt) {
+  struct Case {
+    const char* what;
+    double pause;           // before the next report
+    std::uint64_t session;  // that it is of
+    bool usable;
+  };
+  const Case cases[] = {
+      {"reports as usual", 1, 1, true},
+      {"a pause as of one that waited in vain for an answer", 5, 1, false},
+      {"its lease ran out though it was answered", 1, 2, false},
+  };
+  for (const auto& c : cases) {
+    Bench b;
+    b.worker("m1");
+    b.register_all(0);
+    b.report("m1", 0);
+    b.worker("m1").session = Session(c.session);
+    b.report("m1", c.pause);
+    EXPECT_EQ(b.part.machines().at(MachineName("m1")).usable(at(c.pause)), c.usable) << c.what;
+    if (c.usable) continue;
+    // It's called on; whatever it reports, it's in use again only once it shows the raised token.
+    auto calls = b.part.take_batches(at(c.pause));
+    ASSERT_EQ(calls.size(), 1u) << c.what;
+    EXPECT_TRUE(calls[0].commands.empty());
+    b.part.on_commands(calls[0], Part::CommandResult::kNoAnswer, std::nullopt, at(c.pause + 1));
+    b.report("m1", c.pause + 1);
+    EXPECT_FALSE(b.part.machines().at(MachineName("m1")).usable(at(c.pause + 1))) << c.what;
+    b.worker("m1").token = calls[0].token;
+    b.report("m1", c.pause + 2);
+    EXPECT_TRUE(b.part.machines().at(MachineName("m1")).usable(at(c.pause + 2))) << c.what;
+  }
+}
+
+TEST(Hearing, AMachineThatReportsButDoesNotHearIsDeleted) {
+  Bench b;
+  for (auto* n : {"m1", "m2", "m3", "m4"}) b.worker(n);
+  b.register_all(0);
+  for (auto* n : {"m1", "m2", "m3", "m4"}) b.report(n, 0);
+  b.grant("run-1", 4, 5, 0, Priority::kHigh);
+  b.tick(0);
+  std::size_t starts = 0;
+  std::vector<MachineName> deleted;
+  for (double t = 0.1; t < 12; t += 0.5) {
+    for (auto* n : {"m1", "m2", "m3", "m4"}) b.report(n, t);
+    b.tick(t);
+    for (auto& batch : b.part.take_batches(at(t))) {
+      for (auto& x : batch.commands) starts += x.op == wire::Command::Op::kStart;
+      if (batch.machine == MachineName("m1")) {
+        b.part.on_commands(batch, Part::CommandResult::kNoAnswer, std::nullopt, at(t + 0.2));
+      } else {
+        auto& w = b.worker(batch.machine.value().c_str());
+        b.apply(w, batch);
+        b.part.on_commands(batch, Part::CommandResult::kExecuted, w, at(t + 0.2));
+      }
+    }
+    for (auto& m : b.part.take_deletions(at(t))) {
+      deleted.push_back(m);
+      b.part.on_deleted(m, at(t));
+    }
+  }
+  EXPECT_EQ(deleted, std::vector<MachineName>{MachineName("m1")});
+  EXPECT_EQ(starts, 8u);  // all four there once, then elsewhere once it's gone
+}
+
+// Copies of reports that come late: from half a second to well over a lease, before and after a takeover.
+TEST(LateCopies, ProveNothing) {
+  Bench old(4);
+  old.worker("m1");
+  old.register_all(0);
+  old.report("m1", 0);
+  auto early = old.worker("m1");
+  for (int t = 1; t < 5; ++t) old.report("m1", t);
+  for (double late : {0.5, 3.0, 12.0, 60.0}) {
+    // To the owner that has newer word, neither life nor absence.
+    old.part.on_report(early, at(4 + late));
+    EXPECT_EQ(old.part.machines().at(MachineName("m1")).heard, at(4)) << late;
+    // To a successor that doesn't know the machine: no ghost that the next takeover would wait for.
+    Bench next(5);
+    next.register_all(5);
+    next.part.on_report(early, at(5 + late));
+    EXPECT_TRUE(next.part.unregistered().empty()) << late;
+    EXPECT_TRUE(next.part.rebuilt()) << late;
+    // To one that knows it, it isn't word under its own term.
+    Bench known(5);
+    known.worker("m1");
+    known.register_all(5);
+    known.part.on_report(early, at(5 + late));
+    EXPECT_FALSE(known.part.rebuilt()) << late;
+    // Once deleted it stays so.
+    known.part.on_deleted(MachineName("m1"), at(6 + late));
+    EXPECT_FALSE(known.part.on_report(old.worker("m1"), at(7 + late))) << late;
+    EXPECT_TRUE(known.part.machines().empty()) << late;
+  }
+}
+
+// The lease is counted from the newest report, not from answers to late copies of older ones, which would
+// keep the tasks of a machine that is gone from being restarted.
+TEST(LateCopies, DoNotLengthenALease) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 1, 5, 0);
+  b.tick(0);
+  b.carry_out(0);
+  auto early = b.worker("m1");
+  b.report("m1", 1);
+  for (double t = 2; t < 13; t += 1) {
+    b.part.on_report(early, at(t));
+    b.part.answer(MachineName("m1"), at(t));
+    b.tick(t);
+  }
+  EXPECT_TRUE(b.part.machines().at(MachineName("m1")).tasks.empty());
+}
+
+// A controller that lost the state service and its peers still answers its workers: they would never come to
+// its successor, which calls on them instead.
+TEST(Takeover, RegisteredMachinesAreCalledOn) {
+  Bench b;
+  auto& w = b.worker("m1");
+  w.session = Session(3);
+  b.part.on_registry({{w.machine, w.type, w.zone, w.spot, "127.0.0.1:7"}}, at(0));
+  auto calls = b.part.take_batches(at(0));
+  ASSERT_EQ(calls.size(), 1u);
+  EXPECT_EQ(calls[0].address, "127.0.0.1:7");
+  EXPECT_TRUE(b.part.take_batches(at(0.1)).empty());
+  // The session was guessed wrong; the answer tells, and the second call gets through.
+  w.sequence = Sequence(1);
+  b.part.on_commands(calls[0], Part::CommandResult::kRejected, w, at(0.2));
+  EXPECT_FALSE(b.part.rebuilt());
+  calls = b.part.take_batches(at(0.2));
+  ASSERT_EQ(calls.size(), 1u);
+  EXPECT_EQ(calls[0].session, Session(3));
+  b.apply(w, calls[0]);
+  b.part.on_commands(calls[0], Part::CommandResult::kExecuted, w, at(0.3));
+  EXPECT_TRUE(b.part.rebuilt());
+}
+
+// A takeover must not wait without end for a zone that stays silent, nor delete it at once.
+TEST(Takeover, AZoneThatIsCutOffIsWaitedForButNotForever) {
+  Bench b;
+  for (auto* n : {"m1", "m2", "m3", "m4", "m5", "m6", "m7"}) b.worker(n).zone = Zone(n[1] > '4' ? "b" : "a");
+  b.register_all(0);
+  std::map<double, std::size_t> deleted;
+  for (double t = 0; t < 30; t += 0.5) {
+    for (auto* n : {"m1", "m2", "m3", "m4"}) b.report(n, t);
+    for (auto& m : b.part.take_deletions(at(t))) {
+      ++deleted[t];
+      b.part.on_deleted(m, at(t));
+    }
+  }
+  ASSERT_EQ(deleted.size(), 1u);
+  EXPECT_EQ(deleted.begin()->second, 3u);
+  EXPECT_GT(deleted.begin()->first, 15);
+  EXPECT_TRUE(b.part.rebuilt());
+}
+
+// What is told to the leader at once, and what is left to be recorded.
+TEST(Part, OutcomesAreToldOnceAndAgainOnDemand) {
+  Bench b;
+  b.worker("m1");
+  b.register_all(0);
+  b.report("m1", 0);
+  b.grant("run-1", 6, 5, 0);
+  b.tick(0);
+  b.carry_out(0);
+  b.tick(1.5);  // two of the six found no room
+  auto told = b.part.outcomes(false);
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_EQ(told[0].returned.at(0).tasks, Ranges::span(4, 6));
+  EXPECT_TRUE(b.part.outcomes(false).empty());
+  EXPECT_EQ(b.part.outcomes(true).size(), 1u);
+  b.record(2);
+  EXPECT_TRUE(b.part.outcomes(true).empty());
+}
+
 TEST(Part, StaleReportsAreDropped) {
   Bench b;
   b.worker("m1");
@@ -643,9 +821,8 @@
   b.grant("run-1", 3, 5, 0);
   b.tick(0);
   b.carry_out(0);
-  b.report("m1", 0.5);
+  for (int t = 1; t <= 9; ++t) b.report("m1", t);
   b.grant("run-2", 1, 5, 9);  // the youngest loses least
-  b.report("m1", 9);
   b.tick(9);
   b.carry_out(9);
   b.report("m1", 9.5);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -146,6 +146,9 @@
       Gone{{MachineName("z")}},
       Relay{5, "{}"},
       Relayed{5, 421, "{}"},
+      Outcomes{PartId(1),
+               Term(4),
+               {{JobId("run-1"), Ranges::span(0, 7), {{Generation(3), Ranges::span(9, 12)}}}, {}}},
   };
   for (const auto& body : bodies) {
     auto bytes = encode_peer({NodeName("n1"), body});
