Services go by themselves and first; arrays, progress and tidying use spare writes

After a takeover done tasks that weren't recorded yet counted against the teams' limits and arrays stood still for 15 s. Ruled out: processor time (mean 0.2 of the share).

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -115,6 +115,8 @@
     switch (result.outcome) {
       case store::Outcome::kOk:
         mirror_->apply_own(t, result.revision);
+        spdlog::debug("{} accepted ({})", id.value(),
+                      mirror_->view().job(id) ? mirror_->view().job(id)->record.spec->job_class : "");
         reply({201, wire::render_accepted(id, wire::JobState::kQueued)});
         return hooks_.changed(result.revision);
       case store::Outcome::kConflict:
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -78,7 +78,6 @@
       r.remove(store::given_back(p->second.value, c.generation));
     r.remove(recorded);
     auto granted = r.count();
-    e.charged += granted;
     if (told != told_.end())
       if (auto t = told->second.find(c.part); t != told->second.end())
         r.remove(store::given_back(t->second.progress, c.generation));
@@ -94,7 +93,10 @@
     out.add(r);
     e.live.emplace_back(std::move(r), c);
   }
-  if (end) e.charged = e.out;
+  // What was only told to be returned stays in the ledger: the part's next owner, who doesn't know of it, may
+  // start it. Not so of a job that is over. Nor what is done, by record or word: should it be started again,
+  // it ends as soon as it has its image.
+  e.charged = e.out + (end ? 0 : e.told_returned);
   e.pending = Ranges();
   if (!end) {
     e.pending = Ranges::span(0, e.record.spec->tasks);
@@ -196,7 +198,12 @@
   // Between rounds for work that didn't fit a report period passes, unless something new came.
   if (now - last_round_ < (urgent_ ? kMinGap : params_.report_period / 2)) return std::nullopt;
   Round r;
-  for (const auto& id : order(wall)) {
+  auto waiting = order(wall);
+  // What came just now and shouldn't wait goes by itself: a write for many arrays would hold up services.
+  auto service = [&](const JobId& id) { return jobs_.at(id).record.spec->kind == JobKind::kService; };
+  if (urgent_ && std::any_of(waiting.begin(), waiting.end(), service))
+    std::erase_if(waiting, [&](const JobId& id) { return !service(id); });
+  for (const auto& id : waiting) {
     auto shape = part::shape_of(*jobs_.at(id).record.spec, 0);
     auto it = std::find(r.shapes.begin(), r.shapes.end(), shape);
     if (it == r.shapes.end()) {
@@ -220,8 +227,7 @@
 
 std::uint32_t Lead::allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const {
   const auto& spec = *e.record.spec;
-  // What was told to be returned leaves the ledger only by the write that grants it anew: until then the
-  // part's next owner, who doesn't know of it, may start it.
+  // What was told to be returned is in the ledger until the write that grants it anew.
   double n = kWindow > e.charged ? kWindow - e.charged : 0;
   for (const auto& t : teams_) {
     if (t.name != spec.team) continue;
@@ -250,7 +256,15 @@
   return rooms;
 }
 
-std::optional<std::vector<Lead::Grant>> Lead::decide(Instant now, const std::map<PartId, Term>& terms) {
+bool Lead::for_services() const {
+  return round_ && std::any_of(round_->jobs.begin(), round_->jobs.end(), [&](const auto& id) {
+           auto it = jobs_.find(id);
+           return it != jobs_.end() && it->second.record.spec->kind == JobKind::kService;
+         });
+}
+
+std::optional<std::vector<Lead::Grant>> Lead::decide(Instant now, const std::map<PartId, Term>& terms,
+                                                     std::size_t most) {
   if (!round_ || round_->writing) return std::nullopt;
   auto& r = *round_;
   bool all = std::all_of(r.asked.begin(), r.asked.end(), [&](PartId p) { return r.answers.contains(p); });
@@ -263,7 +277,7 @@
   for (const auto& [part, sent] : sent_)
     for (const auto& s : sent) taken[part] += s.cpus;
 
-  for (std::size_t i = 0; i < r.jobs.size() && grants.size() < params_.max_writes; ++i) {
+  for (std::size_t i = 0; i < r.jobs.size() && grants.size() < std::min(most, params_.max_writes); ++i) {
     auto job = jobs_.find(r.jobs[i]);
     if (job == jobs_.end() || job->second.end || job->second.pending.empty()) continue;
     auto& e = job->second;
@@ -415,7 +429,8 @@
 }
 
 void Lead::on_granted(const std::vector<Grant>& grants, std::optional<Revision> revision, Instant) {
-  bool more = round_ && grants.size() >= params_.max_writes;
+  // Others may have come while it was written, and services go by themselves.
+  bool more = round_ && (grants.size() >= params_.max_writes || for_services());
   round_.reset();
   if (more) urgent_ = true;
   if (!revision) return;
@@ -461,7 +476,8 @@
     if (e.pending.empty() || e.end) continue;
     auto n = std::min(e.pending.count(), allowed_by_quota(e, usage));
     if (n == 0) continue;
-    usage[e.record.spec->team] += e.record.spec->each * static_cast<double>(n);
+    auto fresh = n - std::min(n, e.told_returned);
+    usage[e.record.spec->team] += e.record.spec->each * static_cast<double>(fresh);
     out.push_back({part::shape_of(*e.record.spec, n), now - e.waiting_since});
   }
   return out;
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -55,7 +55,11 @@
     std::set<PartId> rests_on;
   };
   // The round's outcome, once every part has answered or was waited for long enough. `terms`: of each part.
-  std::optional<std::vector<Grant>> decide(Instant now, const std::map<PartId, Term>& terms);
+  // At most `most` jobs are granted tasks.
+  std::optional<std::vector<Grant>> decide(Instant now, const std::map<PartId, Term>& terms,
+                                           std::size_t most = SIZE_MAX);
+  // The open round is, at least in part, for services.
+  bool for_services() const;
   // The transaction of the round's grants ended; `revision` if it was applied.
   void on_granted(const std::vector<Grant>& grants, std::optional<Revision> revision, Instant now);
   bool round_open() const { return round_.has_value(); }
@@ -125,8 +129,7 @@
   };
   std::map<JobId, std::map<PartId, Told>> told_;
   std::map<PartId, Term> terms_;
-  // What is granted, and by the record neither done nor returned. Word of it counts only for jobs that are
-  // over: of others a part's next owner, who may not know, could start it again.
+  // What is granted and neither done nor returned; see on_job for what counts by word.
   std::map<Team, Resources> usage_;
   std::map<PartId, wire::Summary> summaries_;
   std::map<PartId, std::vector<Sent>> sent_;  // grants that a part's answers may not reckon with yet
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kListTick = std::chrono::milliseconds(2500);
 constexpr Duration kTidyTick = std::chrono::seconds(1);
 constexpr std::size_t kMaxGrants = 8;
+constexpr double kValueShare = 0.9;  // of the limit for a value
+constexpr Duration kEndAgain = std::chrono::milliseconds(500);
 }  // namespace
 
 LeaderDuty::LeaderDuty(Context& ctx, PeersDuty& peers, WorkersDuty& workers)
@@ -162,8 +164,19 @@
     peers_.broadcast(*ask);
     workers_.on_ask(*ask, [this](wire::Answer a) { lead_->on_answer(a, ctx_.now()); });
   }
-  auto grants = lead_->decide(now, all);
-  if (!grants || grants->empty()) return;
+  // Services go at once, arrays as the budget of writes allows: what they would use up now, the next service
+  // would wait for.
+  bool services = lead_->for_services();
+  auto grants =
+      lead_->decide(now, all, services ? kMaxGrants : std::max<std::size_t>(1, ctx_.store->spare_writes()));
+  if (!grants) return;
+  std::erase_if(*grants, [&](const auto& g) {
+    if (store::to_json(g.grants).dump().size() < ctx_.settings.value_kb * 1024 * kValueShare) return false;
+    spdlog::info("{}: its grants are in too many pieces for one value, it gets no more for now",
+                 g.job.value());
+    return true;
+  });
+  if (grants->empty()) return lead_->on_granted({}, std::nullopt, now);
   wire::Txn t;
   t.conditions.push_back(*leader);
   std::set<PartId> rests_on;
@@ -175,9 +188,14 @@
     t.conditions.push_back({store::end_key(g.job), Revision()});
     t.writes.push_back({store::grants_key(g.job), store::to_json(g.grants), std::nullopt});
   }
-  ctx_.store->txn(t, store::Urgency::kWork, [this, t, term = term_, grants = *grants](store::TxnResult r) {
+  auto urgency = services ? store::Urgency::kUser : store::Urgency::kWork;
+  ctx_.store->txn(t, urgency, [this, t, term = term_, grants = *grants](store::TxnResult r) {
     if (!lead_ || term != term_) return;
     if (r.outcome == store::Outcome::kOk) {
+      for (const auto& g : grants)
+        for (const auto& c : g.grants.chunks)
+          spdlog::debug("{}: granted {} tasks to part {}{}", g.job.value(), c.tasks.count(), c.part.value(),
+                        c.preempt ? ", by force" : "");
       lead_->on_granted(grants, r.revision, ctx_.now());
       ctx_.mirror->apply_own(t, r.revision);
       peers_.broadcast(wire::Nudge{r.revision});
@@ -192,7 +210,7 @@
 
 void LeaderDuty::write_ends() {
   auto leader = still_leader();
-  if (!leader) return;
+  if (!leader || ctx_.now() < ends_again_) return;
   wire::Txn t;
   std::vector<JobId> ids;
   for (const auto& id : lead_->finished()) {
@@ -220,6 +238,8 @@
       peers_.broadcast(wire::Nudge{r.revision});
       return over();
     }
+    // During an outage, trying again at once would only use up the budget.
+    ends_again_ = ctx_.now() + kEndAgain;
     ctx_.mirror->sync([over](bool) { over(); });
   });
 }
@@ -227,7 +247,8 @@
 // Drops what is no longer needed of jobs that are over; how they ended is kept.
 void LeaderDuty::tidy() {
   auto leader = still_leader();
-  if (!leader || !tidying_.empty()) return;
+  auto spare = ctx_.store->spare_writes();
+  if (!leader || !tidying_.empty() || spare == 0) return;
   wire::Txn t;
   t.conditions.push_back(*leader);
   for (const auto& id : lead_->drained()) {
@@ -236,7 +257,7 @@
     std::vector<wire::Condition> keys{{store::job_key(id), job->created}};
     if (job->grants.exists()) keys.push_back({store::grants_key(id), job->grants.version});
     for (const auto& [part, p] : job->progress) keys.push_back({store::progress_key(part, id), p.version});
-    if (t.writes.size() + keys.size() > std::min<std::size_t>(ctx_.settings.txn_ops, 8)) {
+    if (t.writes.size() + keys.size() > std::min<std::size_t>({ctx_.settings.txn_ops, 8, spare})) {
       if (t.writes.empty()) continue;
       break;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -62,6 +62,7 @@
                                                    adjust_shares();
                                                  },
                                                  [this] { leader_->unlead(); },
+                                                 [this](PartId p) { return workers_->settled(p); },
                                              });
   api_ = std::make_unique<api::Api>(clock, ctx_.settings, ctx_.store, ctx_.mirror,
                                     api::Api::Hooks{
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kCheck = std::chrono::milliseconds(200);
 // Each candidate waits this much longer than the one before it, so that one claims and the others see it.
 constexpr Duration kRankDelay = std::chrono::milliseconds(1200);
+// While a machine is silent, its part stays where it is: the new owner would have to wait for it. But not for
+// longer than so many times the usual delay.
+constexpr int kHomePatience = 4;
 }  // namespace
 
 RolesDuty::RolesDuty(Context& ctx, Hooks hooks)
@@ -121,7 +124,8 @@
       s.home_since.reset();
     } else if (!s.home_since) {
       s.home_since = now;
-    } else if (now - *s.home_since > ctx_.policy.home_delay) {
+    } else if (now - *s.home_since > ctx_.policy.home_delay &&
+               (hooks_.settled(*part) || now - *s.home_since > kHomePatience * ctx_.policy.home_delay)) {
       s.home_since.reset();
       hand_back(s, role, *part);
     }
--- a/src/node/roles.h
+++ b/src/node/roles.h
@@ -15,6 +15,8 @@
     std::function<void(PartId)> disown;
     std::function<void(Term)> lead;
     std::function<void()> unlead;
+    // Whether the part is in good order: nothing of it is lost or in doubt at present.
+    std::function<bool(PartId)> settled;
   };
   RolesDuty(Context& ctx, Hooks hooks);
   void start();
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -12,6 +12,8 @@
 // only a successor of this owner needs the record, and most jobs are over before.
 constexpr Duration kGather = std::chrono::milliseconds(1000);
 constexpr Duration kGatherTold = std::chrono::seconds(20);
+// What is returned and isn't granted anew soon: until it's recorded it counts against its team's limit.
+constexpr Duration kGatherReturned = std::chrono::seconds(2);
 constexpr Duration kWriteCheck = std::chrono::milliseconds(500);
 // Everything unwritten is told again so often, lest a message was lost.
 constexpr Duration kTellAgain = std::chrono::seconds(2);
@@ -182,6 +184,11 @@
     if (auto it = parts_.find(t.part); it != parts_.end()) it->second.part->supersede(t.term);
 }
 
+bool WorkersDuty::settled(PartId id) const {
+  auto it = parts_.find(id);
+  return it != parts_.end() && it->second.part->settled(ctx_.now());
+}
+
 std::vector<wire::PartTerm> WorkersDuty::owned() const {
   std::vector<wire::PartTerm> out;
   for (const auto& [id, o] : parts_)
@@ -357,11 +364,14 @@
   const auto& role = ctx_.view().part_role(id);
   if (!role.exists() || role.value.term != o.part->term()) return;
   const auto& leader = ctx_.view().leader();
-  auto patience = leader.exists() && peers_.reachable(leader.value.node) ? kGatherTold : kGather;
+  bool told = leader.exists() && peers_.reachable(leader.value.node);
+  auto most = std::min<std::size_t>({ctx_.settings.txn_ops, 6, told ? ctx_.store->spare_writes() : SIZE_MAX});
+  if (most == 0) return;
   wire::Txn t;
   t.conditions.push_back({store::part_role_key(id), role.version});
   for (auto& [job, progress] : unwritten) {
     auto since = o.unwritten.try_emplace(job, now).first->second;
+    auto patience = !told ? kGather : progress.returned.empty() ? kGatherTold : kGatherReturned;
     if (now - since < patience) continue;
     const auto* record = ctx_.view().job(job);
     if (!record) continue;
@@ -369,7 +379,7 @@
     auto have = record->progress.find(id);
     t.conditions.push_back({key, have == record->progress.end() ? Revision() : have->second.version});
     t.writes.push_back({key, store::to_json(progress), std::nullopt});
-    if (t.writes.size() >= std::min<std::size_t>(ctx_.settings.txn_ops, 6)) break;
+    if (t.writes.size() >= most) break;
   }
   if (t.writes.empty()) return;
   o.writing = true;
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -23,6 +23,7 @@
   // Peers told of owners: those of a higher term end this node's acting, also when the state service can't.
   void on_terms(const std::vector<wire::PartTerm>& terms);
   std::vector<wire::PartTerm> owned() const;
+  bool settled(PartId part) const;
   bool owns(PartId part) const { return parts_.contains(part); }
 
   void on_report(const net::Request& r, const net::HttpServer::Reply& reply);
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -887,6 +887,11 @@
   return now - m.heard > patience || (m.doubted && now - *m.doubted > patience);
 }
 
+bool Part::settled(Instant now) const {
+  return rebuilt_ && std::none_of(machines_.begin(), machines_.end(),
+                                  [&](const auto& m) { return out_of_touch(m.second, m.second.quiet, now); });
+}
+
 // More machines of a zone out of touch than single failures explain: rather this node is cut off from it.
 std::set<Zone> Part::cut_off_zones(Instant now) const {
   std::map<Zone, std::pair<std::size_t, std::size_t>> count;  // out of touch, all
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -35,6 +35,8 @@
   bool superseded() const { return superseded_; }
   // Word of a higher term came by another way.
   void supersede(Term t);
+  // All is in good order: rebuilt, and every machine in touch.
+  bool settled(Instant now) const;
   // Every registered machine has been heard under this term or is gone.
   bool rebuilt() const { return rebuilt_; }
 
--- a/src/store/budget.h
+++ b/src/store/budget.h
@@ -18,6 +18,9 @@
   bool take(double n, bool urgent, Instant now);
   // When `n` could be taken, at the earliest.
   Instant ready_at(double n, bool urgent, Instant now);
+  double level(Instant now) const {
+    return std::min(rate_ * burst_s_, level_ + rate_ * std::max(0.0, to_seconds(now - at_)));
+  }
   // After a refusal for too many requests: starts again from nothing.
   void drain(Instant now);
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -129,6 +129,14 @@
   pump();
 }
 
+std::size_t StoreClient::spare_writes() const {
+  double queued = 0;
+  for (const auto& q : queues_)
+    for (const auto& j : q) queued += j.writes;
+  double spare = writes_.level(clock_.now()) - queued - limits_.write_rps * write_share_ / 2;
+  return spare <= 0 ? 0 : static_cast<std::size_t>(spare);
+}
+
 Duration StoreClient::write_wait(Urgency u) const {
   double queued = 0;
   for (std::size_t i = 0; i <= static_cast<std::size_t>(u); ++i)
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -51,6 +51,8 @@
 
   // This node's part of the service's limits.
   void set_shares(double requests, double writes);
+  // How many changes could be made now with half of a second's worth left for what is more urgent.
+  std::size_t spare_writes() const;
   // How long a change of this urgency would wait now: what overload is judged by.
   Duration write_wait(Urgency u) const;
   void stop();
