Reads take half of a node's requests at most; the task cap counts what stays

And a large machine full of small tasks had no room by force, since its cap counted those that would be stopped.

--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -269,6 +269,9 @@
   auto& r = *round_;
   bool all = std::all_of(r.asked.begin(), r.asked.end(), [&](PartId p) { return r.answers.contains(p); });
   if (!all && now - r.began < params_.reply_wait) return std::nullopt;
+  for (auto p : r.asked)
+    if (!r.answers.contains(p))
+      spdlog::debug("round {}: part {} didn't answer, judged by its summary", r.id, p.value());
 
   std::map<Team, Resources> usage = usage_;
   std::map<PartId, double> taken;  // CPUs given in this round or not yet seen by the part
--- a/src/part/estimator.cpp
+++ b/src/part/estimator.cpp
@@ -46,7 +46,7 @@
 
 std::uint32_t room_on(const Machine& m, const wire::Shape& s, const RoomRules& rules, bool preempt) {
   Resources idle = m.total - (preempt ? m.used_from(s.priority) : m.used());
-  auto tasks = m.live_tasks();
+  auto tasks = preempt ? m.tasks_from(s.priority) : m.live_tasks();
   std::uint32_t r1 = fits(open_to(idle, m.total, s, rules), s.each);
   std::uint32_t r2 = tasks >= rules.task_cap ? 0 : rules.task_cap - static_cast<std::uint32_t>(tasks);
   return std::min(r1, r2);
--- a/src/part/machine.cpp
+++ b/src/part/machine.cpp
@@ -22,10 +22,12 @@
   load_.emplace();
   for (const auto& [key, t] : tasks) {
     if (t.state == wire::TaskState::kEnded) continue;
-    ++load_->tasks;
-    if (!t.spec) continue;
-    for (std::size_t p = 0; p <= static_cast<std::size_t>(t.spec->priority); ++p)
-      load_->used_from[p] += t.spec->each;
+    // What isn't known can't be stopped for anything.
+    auto priority = t.spec ? t.spec->priority : Priority::kProduction;
+    for (std::size_t p = 0; p <= static_cast<std::size_t>(priority); ++p) {
+      ++load_->tasks_from[p];
+      if (t.spec) load_->used_from[p] += t.spec->each;
+    }
   }
   return *load_;
 }
--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -103,7 +103,8 @@
   const Resources& used() const { return load().used_from[0]; }
   // Used by tasks whose priority is at least `p`: what stopping lower work can't free.
   const Resources& used_from(Priority p) const { return load().used_from[static_cast<std::size_t>(p)]; }
-  std::size_t live_tasks() const { return load().tasks; }
+  std::size_t live_tasks() const { return load().tasks_from[0]; }
+  std::size_t tasks_from(Priority p) const { return load().tasks_from[static_cast<std::size_t>(p)]; }
   void changed() { load_.reset(); }
   bool usable(Instant now) const {
     return reported && registered && type_known && !closed && !sick && !deleting && !taken_at &&
@@ -114,7 +115,7 @@
  private:
   struct Load {
     std::array<Resources, kPriorities> used_from;
-    std::size_t tasks = 0;
+    std::array<std::size_t, kPriorities> tasks_from{};
   };
   const Load& load() const;
   mutable std::optional<Load> load_;
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -51,6 +51,9 @@
 
   // This node's part of the service's limits.
   void set_shares(double requests, double writes);
+  // The least time between two requests of a kind that may take half of this node's share of the service's
+  // limit.
+  Duration fair_gap() const { return from_seconds(2 / std::max(1.0, limits_.rps * request_share_)); }
   // How many changes could be made now with half of a second's worth left for what is more urgent.
   std::size_t spare_writes() const;
   // How long a change of this urgency would wait now: what overload is judged by.
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -30,6 +30,11 @@
 }
 
 void Mirror::schedule(Duration d) {
+  if (d <= Duration(0) && loaded_) {
+    timer_.cancel();
+    reading_ = true;
+    return read();
+  }
   timer_.expires_after(d);
   timer_.async_wait([weak = weak_from_this()](std::error_code ec) {
     auto me = weak.lock();
@@ -76,7 +81,7 @@
 }
 
 void Mirror::read() {
-  auto begun = clock_.now();
+  auto begun = begun_ = clock_.now();
   std::swap(served_, waiting_);
   client_->get(wire::watch_target(kPrefix, revision_, 0), Urgency::kUser,
                [weak = weak_from_this(), begun](ReadResult r) {
@@ -104,8 +109,7 @@
                  if (me->stopped_ || me->reading_) return;
                  bool again = me->loaded_ && (!me->waiting_.empty() || (ok && me->nudged_ > me->revision_));
                  if (again && ok) {
-                   me->reading_ = true;
-                   me->read();
+                   me->read_soon();
                  } else {
                    me->schedule(me->period_);
                  }
@@ -126,18 +130,19 @@
 void Mirror::sync(std::function<void(bool)> done) {
   if (stopped_ || !loaded_) return done(false);
   waiting_.push_back(std::move(done));
-  if (reading_) return;
-  timer_.cancel();
-  reading_ = true;
-  read();
+  if (!reading_) read_soon();
+}
+
+// Found on a day with dozens of questions a second at each node: read after read took up the whole limit of
+// requests, and grants waited for seconds. One read serves all who wait.
+void Mirror::read_soon() {
+  schedule(std::max(Duration(0), begun_ + client_->fair_gap() - clock_.now()));
 }
 
 void Mirror::nudge(Revision r) {
   nudged_ = std::max(nudged_, r);
   if (stopped_ || !loaded_ || reading_ || nudged_ <= revision_) return;
-  timer_.cancel();
-  reading_ = true;
-  read();
+  read_soon();
 }
 
 void Mirror::apply_own(const wire::Txn& t, Revision r) {
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -40,6 +40,8 @@
   void finish(bool ok);
   void settle();
   void schedule(Duration d);
+  // Reads as soon as the last read is long enough ago.
+  void read_soon();
 
   asio::io_context& io_;
   const Clock& clock_;
@@ -52,6 +54,7 @@
   Revision nudged_;
   Instant word_{};
   std::vector<std::function<void(bool)>> waiting_, served_;
+  Instant begun_{};  // the last read
   bool loaded_ = false;
   bool reading_ = false;
   bool ready_ = false;
