--- a/src/config/policy.cpp
+++ b/src/config/policy.cpp
@@ -41,6 +41,9 @@
       {"home_delay", ExprType::kDuration, "15s", 0, 86400,
        "how long a part's home node is well before it gets it back",
        [](Policy& p, double v) { p.home_delay = from_seconds(v); }},
+      {"longest_wait", ExprType::kDuration, "150s", 1, 86400,
+       "how long a job may get nothing before it goes to the head of the queue",
+       [](Policy& p, double v) { p.longest_wait = from_seconds(v); }},
   };
   return kSpecs;
 }
--- a/src/config/policy.h
+++ b/src/config/policy.h
@@ -19,6 +19,7 @@
   Duration idle_return;     // how long a machine is idle before it is returned
   Duration quiet_return;    // the same when no job is left at all
   Duration home_delay;      // how long a part's home node is well before it gets the part back
+  Duration longest_wait;    // how long a job may get nothing before it goes to the head of the queue
 };
 
 struct Knob {
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -14,6 +14,10 @@
 constexpr std::uint32_t kWindow = 2000;
 constexpr Duration kMinGap = std::chrono::milliseconds(20);
 constexpr double kSlack = 1e-6;
+// In multiples of the longest wait: from when on a job that got nothing goes before work of higher priority,
+// and until when others give way to a gang that finds no room.
+constexpr double kBeforeAll = 1.3;
+constexpr double kGiveWay = 3;
 // What is left of a task that is out, on average.
 constexpr double kUnderWay = 0.5;
 
@@ -160,7 +164,13 @@
   std::erase_if(sent_[a.part], [&](const Sent& s) { return s.revision <= a.seen; });
 }
 
-std::vector<JobId> Lead::order(WallMs wall) const {
+double Lead::overdue(const Entry& e, WallMs wall) const {
+  if (e.out > 0 || !e.done.empty() || params_.longest_wait <= Duration(0)) return 0;
+  return static_cast<double>(wall.value() - e.record.submitted.value()) / 1000 /
+         to_seconds(params_.longest_wait);
+}
+
+std::vector<QueuedJob> Lead::order(WallMs wall) const {
   std::vector<TimedJob> timed;
   double cpus = 0;
   for (const auto& [id, e] : jobs_) {
@@ -182,8 +192,14 @@
     bool gang = e.record.spec->kind == JobKind::kGang;
     // A gang is granted as a whole, and anew only once nothing of its last attempt is left anywhere.
     if (n == 0 || (gang && n < e.pending.count())) continue;
-    QueuedJob q{id, e.record.spec->team,        e.record.spec->priority,
-                0,  e.record.submitted.value(), e.record.spec->each * static_cast<double>(n)};
+    QueuedJob q;
+    q.id = id;
+    q.team = e.record.spec->team;
+    q.priority = e.record.spec->priority;
+    q.due_ms = q.submitted_ms = e.record.submitted.value();
+    q.wanted = e.record.spec->each * static_cast<double>(n);
+    auto waits = overdue(e, wall);
+    q.overdue = waits < 1 ? 0 : waits < kBeforeAll ? 1 : 2;
     if (auto t = tiers.find(id); t != tiers.end() && !e.due_ms.empty()) {
       q.tier = t->second.tier;
       q.due_ms = e.due_ms[std::min<std::size_t>(static_cast<std::size_t>(q.tier), e.due_ms.size() - 1)];
@@ -200,10 +216,11 @@
   Round r;
   auto waiting = order(wall);
   // What came just now and shouldn't wait goes by itself: a write for many arrays would hold up services.
-  auto service = [&](const JobId& id) { return jobs_.at(id).record.spec->kind == JobKind::kService; };
+  auto service = [&](const QueuedJob& q) { return jobs_.at(q.id).record.spec->kind == JobKind::kService; };
   if (urgent_ && std::any_of(waiting.begin(), waiting.end(), service))
-    std::erase_if(waiting, [&](const JobId& id) { return !service(id); });
-  for (const auto& id : waiting) {
+    std::erase_if(waiting, [&](const QueuedJob& q) { return !service(q); });
+  for (const auto& q : waiting) {
+    const auto& id = q.id;
     auto shape = part::shape_of(*jobs_.at(id).record.spec, 0);
     auto it = std::find(r.shapes.begin(), r.shapes.end(), shape);
     if (it == r.shapes.end()) {
@@ -212,6 +229,7 @@
     }
     r.shape_of.push_back(static_cast<std::size_t>(it - r.shapes.begin()));
     r.jobs.push_back(id);
+    if (auto w = overdue(jobs_.at(id), wall); w >= 1 && w < kGiveWay) r.overdue.insert(id);
     if (r.jobs.size() >= kJobsPerRound) break;
   }
   urgent_ = false;
@@ -280,6 +298,7 @@
   for (const auto& [part, sent] : sent_)
     for (const auto& s : sent) taken[part] += s.cpus;
 
+  bool give_way = false;
   for (std::size_t i = 0; i < r.jobs.size() && grants.size() < std::min(most, params_.max_writes); ++i) {
     auto job = jobs_.find(r.jobs[i]);
     if (job == jobs_.end() || job->second.end || job->second.pending.empty()) continue;
@@ -289,6 +308,7 @@
     if (want == 0) continue;
 
     bool gang = spec.kind == JobKind::kGang;
+    if (give_way && spec.kind == JobKind::kArray) continue;
     if (gang && want < e.pending.count()) continue;
     if (gang && !e.live.empty()) {
       if (e.grants.recall || now - e.waiting_since < 2 * params_.report_period) continue;
@@ -377,7 +397,12 @@
       free = rooms_for_gang(want, std::move(free));
       warm.clear();
       preemptible.clear();
-      if (free.empty()) continue;
+      if (free.empty()) {
+        // Arrays take whatever becomes free, and a large gang would never find its room: they give way for a
+        // time.
+        give_way = give_way || r.overdue.contains(job->first);
+        continue;
+      }
     }
     // Room where the image already is goes first: a fetch takes longer than anything else on the way to a
     // start, for a service also longer than stopping work of lower priority where the image is.
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -19,6 +19,7 @@
 struct LeadParams {
   Duration reply_wait{};
   Duration report_period{};
+  Duration longest_wait{};
   part::RoomRules rules;
   std::size_t max_writes = 8;  // grants in one transaction
 };
@@ -105,6 +106,7 @@
     std::uint64_t id = 0;
     Instant began{};
     std::vector<JobId> jobs;
+    std::set<JobId> overdue;  // of them, those that the others give way to
     std::vector<std::size_t> shape_of;
     std::vector<wire::Shape> shapes;
     std::set<PartId> asked;
@@ -115,7 +117,10 @@
   // Rooms that hold all `n` tasks of a gang: of one part if one can, else of several; empty if they can't.
   static std::vector<Room> rooms_for_gang(std::uint32_t n, std::vector<Room> rooms);
   std::uint32_t allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const;
-  std::vector<JobId> order(WallMs wall) const;
+  std::vector<QueuedJob> order(WallMs wall) const;
+  // See QueuedJob::overdue. How far the wait of a job that has got nothing is beyond the longest, in its
+  // multiples.
+  double overdue(const Entry& e, WallMs wall) const;
   void ledger(const Entry& e, int sign);
   std::vector<std::int64_t> due(const wire::JobSpec& spec, WallMs submitted) const;
 
--- a/src/lead/queue.cpp
+++ b/src/lead/queue.cpp
@@ -2,13 +2,18 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 
 namespace beaconsill::lead {
 
-std::vector<JobId> serve_order(std::vector<QueuedJob> jobs, const std::vector<config::TeamSettings>& teams,
-                               std::map<Team, Resources> usage) {
+std::vector<QueuedJob> serve_order(std::vector<QueuedJob> jobs,
+                                   const std::vector<config::TeamSettings>& teams,
+                                   std::map<Team, Resources> usage) {
   std::sort(jobs.begin(), jobs.end(), [](const QueuedJob& a, const QueuedJob& b) {
-    if (a.priority != b.priority) return a.priority > b.priority;
+    if ((a.overdue > 1) != (b.overdue > 1)) return a.overdue > 1;
+    if (a.overdue <= 1 && a.priority != b.priority) return a.priority > b.priority;
+    if (a.overdue != b.overdue) return a.overdue > b.overdue;
+    if (a.overdue && a.submitted_ms != b.submitted_ms) return a.submitted_ms < b.submitted_ms;
     if (a.tier != b.tier) return a.tier < b.tier;
     if (a.due_ms != b.due_ms) return a.due_ms < b.due_ms;
     return a.id < b.id;
@@ -20,6 +25,7 @@
 
   struct Rank {
     int priority;
+    std::int64_t waits;  // overdue jobs go by age, whatever their team has
     bool borrows;
     double fill;
     auto operator<=>(const Rank&) const = default;
@@ -31,9 +37,11 @@
     bool by_gpu = s && s->cpus <= 0 && s->gpus > 0;
     double have = by_gpu ? used.gpus : used.cpus;
     bool borrows = !s || (s->cpus > 0 && used.cpus >= s->cpus) || (s->gpus > 0 && used.gpus >= s->gpus);
-    return Rank{-static_cast<int>(head.priority), borrows, have / share};
+    int priority = head.overdue > 1 ? std::numeric_limits<int>::min() : -static_cast<int>(head.priority);
+    auto waits = head.overdue ? head.submitted_ms : std::numeric_limits<std::int64_t>::max();
+    return Rank{priority, waits, borrows, have / share};
   };
-  std::vector<JobId> out;
+  std::vector<QueuedJob> out;
   while (!queues.empty()) {
     auto best = queues.begin();
     auto best_rank = rank(best->first, *best->second.front());
@@ -45,7 +53,7 @@
       }
     }
     const auto* job = best->second.front();
-    out.push_back(job->id);
+    out.push_back(*job);
     usage[best->first] += job->wanted;
     best->second.pop_front();
     if (best->second.empty()) queues.erase(best);
--- a/src/lead/queue.h
+++ b/src/lead/queue.h
@@ -15,14 +15,18 @@
   Priority priority = Priority::kNormal;
   int tier = 0;             // which of its times it can still keep, see plan_tiers
   std::int64_t due_ms = 0;  // that time
-  Resources wanted;         // of all its tasks that wait
+  std::int64_t submitted_ms = 0;
+  Resources wanted;  // of all its tasks that wait
+  // 1: nothing of it has begun for so long that it goes before its equals; 2: before everything else.
+  int overdue = 0;
 };
 
 // The order in which to serve. `usage`: what each team has been granted. Higher priority goes first; among
-// equals a team within its guarantee before one that borrows, then the team that has least of its share;
-// inside a team the job that is due first.
-std::vector<JobId> serve_order(std::vector<QueuedJob> jobs, const std::vector<config::TeamSettings>& teams,
-                               std::map<Team, Resources> usage);
+// equals a job that is overdue, the oldest first; then a team within its guarantee before one that borrows,
+// then the team that has least of its share; inside a team the job that is due first.
+std::vector<QueuedJob> serve_order(std::vector<QueuedJob> jobs,
+                                   const std::vector<config::TeamSettings>& teams,
+                                   std::map<Team, Resources> usage);
 
 // A job that should be complete at one of several times, the earlier the better.
 struct TimedJob {
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -45,6 +45,7 @@
   lead::LeadParams p;
   p.reply_wait = ctx_.policy.reply_wait;
   p.report_period = from_seconds(ctx_.settings.report_s);
+  p.longest_wait = ctx_.policy.longest_wait;
   p.rules = {ctx_.policy.task_cap, ctx_.policy.reserve};
   p.max_writes = std::min(kMaxGrants, ctx_.settings.txn_ops);
   lead_ = std::make_unique<lead::Lead>(p, ctx_.settings.teams, ctx_.settings.objectives);
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -51,7 +51,7 @@
     std::vector<const char*> order;
   };
   auto job = [](const char* id, const char* t, Priority p, std::int64_t due, double cpus) {
-    return QueuedJob{JobId(id), Team(t), p, 0, due, {cpus, 0, 0}};
+    return QueuedJob{JobId(id), Team(t), p, 0, due, due, {cpus, 0, 0}, 0};
   };
   const Case cases[] = {
       {"priority",
@@ -75,7 +75,9 @@
   for (const auto& c : cases) {
     std::vector<JobId> want;
     for (auto* id : c.order) want.emplace_back(id);
-    EXPECT_EQ(serve_order(c.jobs, {team("x", 10), team("y", 10)}, c.usage), want) << c.what;
+    std::vector<JobId> got;
+    for (auto& q : serve_order(c.jobs, {team("x", 10), team("y", 10)}, c.usage)) got.push_back(q.id);
+    EXPECT_EQ(got, want) << c.what;
   }
 }
 
@@ -106,10 +108,12 @@
   }
 }
 
+constexpr Duration kLongest = std::chrono::seconds(100);
+
 // A leader whose parts answer what the test says.
 struct Bench {
   explicit Bench(double cpus_max = 0)
-      : lead({std::chrono::seconds(2), std::chrono::seconds(1), {}, 8}, {team("blue", 0, cpus_max)},
+      : lead({std::chrono::seconds(2), std::chrono::seconds(1), kLongest, {}, 8}, {team("blue", 0, cpus_max)},
              {{"finished", "night", 0.9, 60, 1}}) {}
 
   store::Job& job(const char* id, std::uint32_t tasks, std::function<void(wire::JobSpec&)> change = {}) {
@@ -129,9 +133,10 @@
     lead.on_job(JobId(id), &jobs[id], end, at(t));
   }
   // One round in which part p answers rooms[p] for every shape; parts without an entry stay silent.
-  std::vector<Lead::Grant> round(double t, std::map<std::uint32_t, wire::ShapeRoom> rooms,
-                                 bool wait = false) {
-    auto ask = lead.begin_round(at(t), WallMs(0), {PartId(0), PartId(1)});
+  std::vector<Lead::Grant> round(double t, std::map<std::uint32_t, wire::ShapeRoom> rooms, bool wait = false,
+                                 double wall_s = 0) {
+    auto ask =
+        lead.begin_round(at(t), WallMs(static_cast<std::int64_t>(wall_s * 1000)), {PartId(0), PartId(1)});
     if (!ask) return {};
     for (auto& [p, room] : rooms)
       lead.on_answer(
@@ -186,6 +191,89 @@
 
 // Found on a day when nine of ten changes in the state service were progress, and its limit held up
 // everything else: what owners tell counts at once. What it may count for is the point of each case.
+// Nobody starves. A job of which nothing has begun goes first after the longest wait, the oldest first, and
+// some time later before work of higher priority.
+TEST(Queue, OverdueJobsGoFirst) {
+  struct Case {
+    const char* what;
+    int large, small, high;  // how overdue
+    std::vector<const char*> order;
+  };
+  const Case cases[] = {
+      {"by priority and due time", 0, 0, 0, {"high", "small", "large"}},
+      {"the large one waited too long", 1, 0, 0, {"high", "large", "small"}},
+      {"both did: the older first, whatever the team has", 1, 1, 0, {"high", "large", "small"}},
+      {"long overdue goes before any priority", 2, 1, 0, {"large", "high", "small"}},
+      {"unless that is as overdue and older", 2, 0, 2, {"large", "high", "small"}},
+  };
+  for (const auto& c : cases) {
+    std::vector<QueuedJob> jobs{
+        {JobId("large"), Team("x"), Priority::kNormal, 1, 9, 1, {900, 0, 0}, c.large},
+        {JobId("small"), Team("y"), Priority::kNormal, 0, 5, 2, {1, 0, 0}, c.small},
+        {JobId("high"), Team("y"), Priority::kHigh, 0, 7, 3, {1, 0, 0}, c.high},
+    };
+    std::vector<std::string> got, want(c.order.begin(), c.order.end());
+    for (auto& q : serve_order(jobs, {team("x", 10), team("y", 10)}, {{Team("x"), {50, 0, 0}}}))
+      got.push_back(q.id.value());
+    EXPECT_EQ(got, want) << c.what;
+  }
+}
+
+// Steady overload: twice what the machines can do, small jobs always in time, a large one put off by every
+// plan.
+TEST(Queue, TheLargestBeginUnderSteadyOverload) {
+  Bench b;
+  auto timed = [](double deadline) {
+    return [deadline](wire::JobSpec& s) {
+      s.job_class = "day";
+      s.estimate_s = 1;
+      s.deadline_s = deadline;
+    };
+  };
+  std::optional<double> begun;
+  int n = 0;
+  for (double t = 1; t < 240 && !begun; t += 1) {
+    for (int k = 0; k < 2; ++k) {
+      auto id = "run-" + std::to_string(++n);
+      b.job(id.c_str(), 6, timed(5));
+      b.jobs[id].record.submitted = WallMs(static_cast<std::int64_t>(t * 1000));
+      b.show(id.c_str(), t);
+    }
+    if (t == 20) {
+      b.job("run-999", 4000, timed(400));
+      b.jobs["run-999"].record.submitted = WallMs(20000);
+      b.show("run-999", t);
+    }
+    auto g = b.round(t, {{0, room(10)}, {1, {}}}, false, t);
+    b.record(g, t);
+    for (auto& x : g)
+      if (x.job == JobId("run-999")) begun = t;
+    // What was granted is done by the next round.
+    for (auto& x : g) {
+      auto& j = b.jobs[x.job.value()];
+      for (auto& chunk : j.grants.value.chunks) j.progress[PartId(0)].value.done.add(chunk.tasks);
+      j.progress[PartId(0)].version = Revision(++b.revision);
+      b.show(x.job.value().c_str(), t);
+    }
+  }
+  ASSERT_TRUE(begun);
+  EXPECT_GE(*begun, 120);  // put off, but not for longer than that
+  EXPECT_LT(*begun, 130);
+}
+
+// A gang needs its room all at once; arrays that take whatever becomes free give way to it once it's overdue.
+TEST(Queue, ArraysGiveWayToAnOverdueGang) {
+  for (double wall : {50.0, 150.0, 400.0}) {
+    Bench b;
+    b.job("run-1", 8, [](wire::JobSpec& s) { s.kind = JobKind::kGang; });
+    b.job("run-2", 100);
+    b.jobs["run-2"].record.submitted = WallMs(static_cast<std::int64_t>(wall * 1000));
+    b.show("run-2", 0);
+    auto g = b.round(1, {{0, room(4)}, {1, {}}}, false, wall);
+    EXPECT_EQ(g.empty(), wall == 150.0) << wall;
+  }
+}
+
 TEST(Outcomes, CountAtOnceAsFarAsIsSafe) {
   auto told = [](std::uint64_t term, Ranges done, Ranges returned) {
     return wire::Outcomes{PartId(0), Term(term), {{JobId("run-1"), done, {{Generation(1), returned}}}}};
