--- /dev/null
+++ b/tests/sim_test.cpp
@@ -0,0 +1,77 @@
+// Seeded schedules of loss, delay, repetition, crash, hang, deafness and late delivery. `--seeds N` plays
+// more of them, `--first S` others; a seed that fails plays the same way again.
+#include <gtest/gtest.h>
+
+#include <CLI/CLI.hpp>
+
+#include "base/log.h"
+#include "simulation.h"
+
+namespace beaconsill::sim {
+namespace {
+
+int seeds = 12;
+std::uint64_t first = 1;
+
+TEST(Simulation, TheRulesHoldAndEveryJobIsServed) {
+  int takeovers = 0;
+  for (int i = 0; i < seeds; ++i) {
+    Options o;
+    o.seed = first + static_cast<std::uint64_t>(i);
+    auto r = World(o).run();
+    EXPECT_TRUE(r.broken.empty()) << "seed " << o.seed << ": " << r.first;
+    EXPECT_GT(r.started, 50) << "seed " << o.seed;
+    takeovers += r.takeovers;
+  }
+  EXPECT_GT(takeovers, 5 * seeds);  // the schedules do what they are for
+}
+
+TEST(Simulation, SeveralHundredMachines) {
+  Options o;
+  o.seed = first;
+  o.machines = 300;
+  o.jobs = 90;
+  o.troubles_s = 40;
+  auto r = World(o).run();
+  EXPECT_TRUE(r.broken.empty()) << r.first;
+}
+
+// A checker that can't fail shows nothing.
+TEST(Simulation, TheCheckersFindSeededMistakes) {
+  struct Case {
+    Mistake mistake;
+    const char* rule;
+  };
+  const Case cases[] = {
+      {Mistake::kRegistryNotRead, "ran_twice"}, {Mistake::kCancellationUnseen, "ran_cancelled"},
+      {Mistake::kNoRoleCondition, "ran_twice"}, {Mistake::kReturnsUntold, "forgotten"},
+      {Mistake::kLimitIgnored, "quota"},        {Mistake::kDoneTooSoon, "not_done"},
+      {Mistake::kCopiesAreNews, "ran_twice"},   {Mistake::kZoneIgnored, "wrong_place"},
+  };
+  for (const auto& c : cases) {
+    bool found = false;
+    std::string seen;
+    for (std::uint64_t seed = 1; seed <= 40 && !found; ++seed) {
+      Options o;
+      o.seed = seed;
+      o.mistake = c.mistake;
+      auto r = World(o).run();
+      found = r.broken.contains(c.rule);
+      if (!r.first.empty()) seen = r.first;
+    }
+    EXPECT_TRUE(found) << "mistake " << static_cast<int>(c.mistake) << ": no " << c.rule << ", but " << seen;
+  }
+}
+
+}  // namespace
+}  // namespace beaconsill::sim
+
+int main(int argc, char** argv) {
+  testing::InitGoogleTest(&argc, argv);
+  CLI::App app("Seeded schedules of troubles");
+  app.add_option("--seeds", beaconsill::sim::seeds, "how many schedules")->check(CLI::PositiveNumber);
+  app.add_option("--first", beaconsill::sim::first, "the first seed");
+  CLI11_PARSE(app, argc, argv);
+  spdlog::set_level(spdlog::level::off);
+  return RUN_ALL_TESTS();
+}
