--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -104,6 +104,7 @@
       m.token = Token::first_of(term_);
       m.quiet = params_.report_period * 3;
       m.address = r.address;
+      m.sick = r.sick;
       m.retry_at = now;
       set_type(m);
     }
@@ -120,7 +121,7 @@
   // machine that is gone, and would be waited for at the next takeover. Nothing is started there anyway.
   for (const auto& [name, m] : machines_)
     if (m.registered || m.reported)
-      wanted[store::machine_bucket(name)].push_back({m.name, m.type, m.zone, m.spot, m.address});
+      wanted[store::machine_bucket(name)].push_back({m.name, m.type, m.zone, m.spot, m.address, m.sick});
   for (std::uint32_t b = 0; b < store::kMachineBuckets; ++b) {
     auto it = registry_.find(b);
     auto have = it == registry_.end() ? std::vector<store::MachineRecord>{} : it->second;
@@ -341,7 +342,7 @@
     return !j || j->failed_on.size() < kBadMachines;
   }));
   if (!m.sick && blamed >= kSickJobs) {
-    m.sick = true;
+    m.sick = registry_dirty_ = true;
     spdlog::info("{}: tasks of {} jobs failed here, set aside", m.name.value(), blamed);
   }
 }
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -137,6 +137,7 @@
   for (const auto& m : machines) {
     Json e{{"n", m.name.value()}, {"t", m.type.value()}, {"z", m.zone.value()}, {"s", m.spot}};
     if (!m.address.empty()) e["a"] = m.address;
+    if (m.sick) e["k"] = true;
     list.push_back(std::move(e));
   }
   return {{"machines", std::move(list)}};
@@ -147,7 +148,8 @@
   for (const Json& e : need_list(j, "machines"))
     v.push_back({MachineName(wire::get_string(e, "n")), MachineType(wire::get_string(e, "t")),
                  Zone(wire::get_string(e, "z")), wire::get_bool(e, "s"),
-                 wire::find(e, "a") ? wire::get_string(e, "a") : std::string()});
+                 wire::find(e, "a") ? wire::get_string(e, "a") : std::string(),
+                 wire::get_bool_or(e, "k", false)});
   return v;
 }
 
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -52,6 +52,7 @@
   Zone zone;
   bool spot = false;
   std::string address;  // a successor calls on the worker there rather than wait for its next report
+  bool sick = false;    // set aside: a successor would have to find out anew, at the cost of many tasks
   bool operator==(const MachineRecord&) const = default;
 };
 struct JobRecord {
--- a/tests/part_test.cpp
+++ b/tests/part_test.cpp
@@ -783,6 +783,15 @@
     b.carry_out(i + 0.5);
   }
   EXPECT_TRUE(b.part.machines().at(MachineName("m1")).sick);
+  // Found on a recorded day of takeovers: each new owner found the sick machines out anew. It's recorded.
+  auto buckets = b.part.unregistered();
+  ASSERT_EQ(buckets.size(), 1u);
+  auto& record = buckets.begin()->second.at(0);
+  EXPECT_TRUE(record.sick);
+  Bench next(6);
+  next.part.on_registry({record}, at(3));
+  next.report("m1", 3);
+  EXPECT_FALSE(next.part.machines().at(MachineName("m1")).usable(at(3)));
   EXPECT_EQ(b.part.take_deletions(at(4)).size(), 1u);
 }
 
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -69,7 +69,8 @@
   EXPECT_EQ(back.last, g.last);
   Progress p{Ranges::span(0, 3), {{Generation(3), Ranges::span(3, 4)}}};
   EXPECT_EQ(parse_progress(to_json(p)), p);
-  std::vector<MachineRecord> m{{MachineName("m"), MachineType("t"), Zone("z"), true}};
+  std::vector<MachineRecord> m{{MachineName("m"), MachineType("t"), Zone("z"), true, "10.0.0.1:9", true},
+                               {MachineName("n"), MachineType("t"), Zone("z")}};
   EXPECT_EQ(parse_machines(to_json(m)), m);
   EXPECT_EQ(parse_ending(to_json(Ending{End::kCancelled, 4})).done, 4u);
   EXPECT_THROW(parse_grants(Json{{"last", 1}, {"chunks", 7}}), wire::WireError);
