--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -21,6 +21,8 @@
 // For so many leases a whole zone that is silent is taken to be cut off rather than gone.
 constexpr int kCutOffLeases = 2;
 constexpr Duration kDeleteAgain = std::chrono::seconds(2);
+// Left to a machine after a takeover: it's called on at once, but it may be there and not be in reach yet.
+constexpr Duration kTakeoverPatience = std::chrono::seconds(2);
 constexpr Duration kErrorMemory = std::chrono::seconds(60);
 constexpr Duration kStrayPatience = std::chrono::seconds(2);
 constexpr Duration kStrayCheck = std::chrono::milliseconds(500);
@@ -911,8 +913,7 @@
   auto cut_off = cut_off_zones(now);
   for (auto& [name, m] : machines_) {
     if (m.deleting || (m.delete_retry && now < *m.delete_retry)) continue;
-    // The same after a takeover, since every machine is called on at once.
-    auto patience = params_.grace;
+    auto patience = m.reported ? params_.grace : params_.grace + kTakeoverPatience;
     if (cut_off.contains(m.zone)) {
       // What ran on those that have obeyed this owner ends with their leases, and they may come back. The
       // others hold up the rebuilding, though not without end.
