--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -221,6 +221,26 @@
   w.run_until([&] { return owner("0") == "n0"; }, "the part goes home");
 }
 
+// An accepted job runs or stays known: once all troubles are over it's answered again, and its tasks are
+// done.
+TEST(EndToEnd, AcceptedJobsAreAnsweredAndRunAfterAllNodesEndedInAnOutage) {
+  World w;
+  w.healthy();
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-1", "batch", 6)).status, 201);
+  EXPECT_EQ(w.call(1, "POST", "/v1/jobs", World::job("run-2", "batch", 6)).status, 201);
+  w.state.down = true;
+  for (auto& n : w.nodes) {
+    n->stop();
+    n.reset();
+  }
+  for (std::size_t i = 0; i < 2; ++i) w.start(i);
+  // Nothing is known yet, and so nothing is denied.
+  EXPECT_EQ(w.call(0, "GET", "/v1/jobs/run-1").status, 503);
+  w.state.down = false;
+  for (const char* id : {"run-1", "run-2"})
+    for (std::size_t i = 0; i < 2; ++i) w.run_until([&] { return w.bearing(i, id) == "done"; }, id);
+}
+
 // Found on a day when one node lost the state service only: its workers stayed with it, since it kept
 // answering them, and its successor waited for them in vain.
 TEST(EndToEnd, AnOwnerThatOnlyPeersCanReachHandsItsWorkersOver) {
