--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -8,9 +8,19 @@
 #define TOML_HEADER_ONLY 1
 #include <toml++/toml.h>
 
+#include "base/log.h"
+
 namespace beaconsill::config {
 namespace {
 
+// The kinds of aims that this program has heard of; those that set a time for jobs order the queue.
+bool known_aim(std::string_view kind) {
+  for (auto k :
+       {"rules", "up", "wait", "deadline", "finished", "guarantee", "submit", "price", "node_restarts"})
+    if (kind == k) return true;
+  return false;
+}
+
 // Reads fields of one table; every error names the file and the field's full path.
 class Reader {
  public:
@@ -140,9 +150,12 @@
     if (ts.gpus_max > 0 && ts.gpus > ts.gpus_max) t.fail("gpus", "is more than gpus_max");
     s.teams.push_back(std::move(ts));
   }
-  for (const auto& o : cluster.tables("objectives"))
+  for (const auto& o : cluster.tables("objectives")) {
     s.objectives.push_back({o.str("kind"), o.str_or("class", ""), o.number_or("share", 0),
                             o.number_or("within_s", 0), o.number_or("times", 1)});
+    if (const auto& kind = s.objectives.back().kind; !known_aim(kind))
+      spdlog::info("{}: cluster.objectives: an aim of kind {} isn't known, and is ignored", path, kind);
+  }
   auto workers = cluster.table("workers");
   s.report_s = workers.positive("report_s");
   s.lease_s = workers.positive("lease_s");
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -1,4 +1,6 @@
 #include <gtest/gtest.h>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
 
 #include <fstream>
 #include <sstream>
@@ -59,6 +61,19 @@
   EXPECT_EQ(s.team(Team("red")), nullptr);
 }
 
+TEST(Settings, AimsOfUnknownKindsAreIgnoredWithALineInTheLog) {
+  std::ostringstream log;
+  auto before = spdlog::default_logger();
+  spdlog::set_default_logger(
+      std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::ostream_sink_st>(log)));
+  auto text = good() + "[[cluster.objectives]]\nkind = \"deadline\"\nclass = \"c\"\nshare = 0.9\n" +
+              "[[cluster.objectives]]\nkind = \"serenity\"\nshare = 0.5\n";
+  EXPECT_EQ(parse_settings(text, "s.toml").objectives.size(), 2u);
+  spdlog::set_default_logger(before);
+  EXPECT_NE(log.str().find("serenity"), std::string::npos);
+  EXPECT_EQ(log.str().find("deadline"), std::string::npos);
+}
+
 TEST(Settings, WrongOnesNameFileFieldAndReason) {
   struct Case {
     const char* from;
