Timers of a node that ends don't run on what was freed

Alarm holds its state by shared pointer and runs nothing once stopped; Repeater and both kicks use it. Test: Alarm.DoesNotRunOnceItsOwnerIsGone.

--- a/src/node/context.h
+++ b/src/node/context.h
@@ -32,34 +32,64 @@
   Instant now() const { return clock.now(); }
 };
 
+// Runs its work once at a time set. Guards against a handler that Asio has queued already when its owner
+// ends: cancelling the timer doesn't take it out of the queue, and it would run on what was freed.
+class Alarm {
+ public:
+  Alarm(asio::io_context& io, std::function<void()> work)
+      : state_(std::make_shared<State>(asio::steady_timer(io), std::move(work))) {}
+  Alarm(const Alarm&) = delete;
+  Alarm& operator=(const Alarm&) = delete;
+  ~Alarm() { stop(); }
+  // Sets it anew; an earlier time no longer counts.
+  void set(Duration d) {
+    if (state_->stopped) return;
+    state_->pending = true;
+    state_->timer.expires_after(d);
+    state_->timer.async_wait([state = state_, n = ++state_->sets](std::error_code ec) {
+      if (ec || state->stopped || n != state->sets) return;
+      state->pending = false;
+      state->work();
+    });
+  }
+  bool pending() const { return state_->pending; }
+  void stop() {
+    state_->stopped = true;
+    state_->timer.cancel();
+  }
+
+ private:
+  struct State {
+    State(asio::steady_timer t, std::function<void()> w) : timer(std::move(t)), work(std::move(w)) {}
+    asio::steady_timer timer;
+    std::function<void()> work;
+    std::uint64_t sets = 0;
+    bool pending = false;
+    bool stopped = false;
+  };
+  std::shared_ptr<State> state_;
+};
+
 // A long-lived duty that wakes up again and again until it is stopped.
 class Repeater {
  public:
-  Repeater(asio::io_context& io, std::function<void()> work) : timer_(io), work_(std::move(work)) {}
+  Repeater(asio::io_context& io, std::function<void()> work)
+      : work_(std::move(work)), alarm_(io, [this] { run(); }) {}
   // Runs the work now and then every `period`.
   void start(Duration period) {
     period_ = period;
     run();
   }
-  void stop() {
-    stopped_ = true;
-    timer_.cancel();
-  }
+  void stop() { alarm_.stop(); }
 
  private:
   void run() {
-    if (stopped_) return;
     work_();
-    if (stopped_) return;
-    timer_.expires_after(period_);
-    timer_.async_wait([this](std::error_code ec) {
-      if (!ec) run();
-    });
+    alarm_.set(period_);
   }
-  asio::steady_timer timer_;
   std::function<void()> work_;
   Duration period_{};
-  bool stopped_ = false;
+  Alarm alarm_;
 };
 
 }  // namespace beaconsill::node
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -1,7 +1,5 @@
 #include "node/leader_duty.h"
 
-#include <asio/post.hpp>
-
 #include "base/log.h"
 
 namespace beaconsill::node {
@@ -22,7 +20,8 @@
       tick_(ctx.io, [this] { pump(); }),
       capacity_tick_(ctx.io, [this] { capacity(); }),
       list_tick_(ctx.io, [this] { list_machines(); }),
-      tidy_tick_(ctx.io, [this] { tidy(); }) {}
+      tidy_tick_(ctx.io, [this] { tidy(); }),
+      soon_(ctx.io, [this] { pump(); }) {}
 
 void LeaderDuty::start() {
   tick_.start(kTick);
@@ -37,6 +36,7 @@
   capacity_tick_.stop();
   list_tick_.stop();
   tidy_tick_.stop();
+  soon_.stop();
 }
 
 void LeaderDuty::lead(Term term) {
@@ -125,12 +125,7 @@
 }
 
 void LeaderDuty::kick() {
-  if (kicked_ || stopped_) return;
-  kicked_ = true;
-  asio::post(ctx_.io, [this] {
-    kicked_ = false;
-    if (!stopped_) pump();
-  });
+  if (!soon_.pending()) soon_.set(Duration(0));
 }
 
 // The grants that an earlier leader wrote last may not be in the view yet: without them the ledger would
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -48,6 +48,7 @@
   PeersDuty& peers_;
   WorkersDuty& workers_;
   Repeater tick_, capacity_tick_, list_tick_, tidy_tick_;
+  Alarm soon_;
   Term term_;
   std::unique_ptr<lead::Lead> lead_;
   std::unique_ptr<lead::Capacity> capacity_;
@@ -56,7 +57,6 @@
   std::map<PartId, wire::Summary> summaries_;  // also while another leads
   bool read_ = false;
   bool reading_ = false;
-  bool kicked_ = false;
   bool stopped_ = false;
 };
 
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -24,7 +24,11 @@
 }  // namespace
 
 WorkersDuty::WorkersDuty(Context& ctx, PeersDuty& peers, std::function<void(wire::Outcomes)> tell)
-    : ctx_(ctx), peers_(peers), tell_(std::move(tell)), tick_(ctx.io, [this] { tick(); }), soon_(ctx.io) {}
+    : ctx_(ctx),
+      peers_(peers),
+      tell_(std::move(tell)),
+      tick_(ctx.io, [this] { tick(); }),
+      soon_(ctx.io, [this] { pump(); }) {}
 
 void WorkersDuty::start() {
   tick_.start(kTick);
@@ -33,7 +37,7 @@
 void WorkersDuty::stop() {
   stopped_ = true;
   tick_.stop();
-  soon_.cancel();
+  soon_.stop();
   for (auto& [name, c] : channels_) c.client->stop();
   channels_.clear();
 }
@@ -238,14 +242,7 @@
 }
 
 void WorkersDuty::kick() {
-  if (kicked_ || stopped_) return;
-  kicked_ = true;
-  soon_.expires_after(kGatherEvents);
-  soon_.async_wait([this](std::error_code ec) {
-    if (ec) return;
-    kicked_ = false;
-    pump();
-  });
+  if (!soon_.pending()) soon_.set(kGatherEvents);
 }
 
 // What can wait for a moment.
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -79,7 +79,7 @@
   PeersDuty& peers_;
   std::function<void(wire::Outcomes)> tell_;
   Repeater tick_;
-  asio::steady_timer soon_;
+  Alarm soon_;
   std::map<PartId, Owned> parts_;
   std::map<MachineName, Channel> channels_;
   struct Pending {
@@ -89,7 +89,6 @@
   };
   std::map<std::uint64_t, Pending> relayed_;  // to their owners, not yet answered
   std::uint64_t next_relay_ = 1;
-  bool kicked_ = false;
   bool stopped_ = false;
 };
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -221,6 +221,22 @@
   w.run_until([&] { return owner("0") == "n0"; }, "the part goes home");
 }
 
+// Found when a node was ended just as a timer of its had come due: the timer's work ran on what was freed.
+TEST(Alarm, DoesNotRunOnceItsOwnerIsGone) {
+  asio::io_context io;
+  int ran = 0;
+  auto second = std::make_unique<node::Alarm>(io, [&] { ran += 10; });
+  node::Alarm first(io, [&] {
+    ++ran;
+    second.reset();
+  });
+  // Both have come due, and are queued, when the first one runs.
+  first.set(Duration(0));
+  second->set(Duration(0));
+  io.run();
+  EXPECT_EQ(ran, 1);
+}
+
 // An accepted job runs or stays known: once all troubles are over it's answered again, and its tasks are
 // done.
 TEST(EndToEnd, AcceptedJobsAreAnsweredAndRunAfterAllNodesEndedInAnOutage) {
