--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kMaxWriteWait = std::chrono::milliseconds(1200);
 
 Response later(std::string_view reason, int after_s = 1) {
+  spdlog::debug("refused for now: {}", reason);
   return {503, wire::render_error(reason), after_s};
 }
 
