--- a/src/part/estimator.cpp
+++ b/src/part/estimator.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace beaconsill::part {
 namespace {
@@ -95,17 +94,14 @@
                         const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job, bool warm,
                         Instant now) {
   Machine* best = nullptr;
-  std::tuple<Image, bool, double> best_rank;
+  std::pair<Image, double> best_rank;
   for (auto& [name, m] : machines) {
     if (!m.usable(now) || !allowed(s, m.type, m.zone, m.spot) || (zone && *zone != m.zone)) continue;
     auto image = image_on(m, s.image);
     if (warm ? image != Image::kHere : image == Image::kBehind) continue;
     if (auto e = m.errors.find(job); e != m.errors.end() && now - e->second < kAvoidAfterError) continue;
-    auto room = room_on(m, s, rules, false);
-    if (room == 0) continue;
-    double free = (m.total - m.used()).cpus;
-    bool scarce = image == Image::kAbsent && room < s.wanted;
-    std::tuple<Image, bool, double> rank{image, scarce, scarce ? -static_cast<double>(room) : free};
+    if (room_on(m, s, rules, false) == 0) continue;
+    std::pair<Image, double> rank{image, (m.total - m.used()).cpus};
     if (!best || rank < best_rank) {
       best = &m;
       best_rank = rank;
--- a/src/part/estimator.h
+++ b/src/part/estimator.h
@@ -41,9 +41,8 @@
 };
 Image image_on(const Machine& m, const ImageName& image);
 
-// Placement: of the machines that have room those that hold the image first, among them the fullest. Without
-// the image: the fullest that holds the whole lot of `s.wanted` tasks, or else the roomiest, so that a lot is
-// fetched for as seldom as possible. `warm`: only where the image is.
+// Placement: of the machines that have room those that hold the image first, then by how soon they will;
+// among equals the fullest. `warm`: only where the image is.
 Machine* choose_machine(std::map<MachineName, Machine>& machines, const wire::Shape& s,
                         const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job, bool warm,
                         Instant now);
