A cut-off zone of hundreds of machines: bounded deletions; owners' work follows what changed

What is being deleted gets no commands, so cancelled tasks there ran on once the zone was back. Change: at most 100 are marked at a time; a cut-off zone is given cancel_s, since an earlier owner in it may keep its tasks for as long; the margin for cancellations is 1 s instead of 3, since a lease counts from when a report was sent. Also: an owner's work no longer grows with all machines and tasks for each event (index of who lists a task, machines touched, jobs that wait, one choice of machines per job and pass).

--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -17,8 +17,9 @@
 constexpr Duration kWriteCheck = std::chrono::milliseconds(500);
 // Everything unwritten is told again so often, lest a message was lost.
 constexpr Duration kTellAgain = std::chrono::seconds(2);
-// Left of the time for a cancellation after the word of it and the lease, for whatever is slow.
-constexpr double kCancelMargin_s = 3;
+// Left of the time for a cancellation after the word of it and the lease. It has to cover the clocks' drift
+// and a worker's timer only: a lease counts from when the report was sent, however slow its answer is.
+constexpr double kCancelMargin_s = 1;
 constexpr Duration kRelayWait = std::chrono::milliseconds(800);
 constexpr std::size_t kMaxRelayed = 256;
 }  // namespace
@@ -396,7 +397,6 @@
 void WorkersDuty::remove_machines(PartId id, Owned& o) {
   auto names = o.part->take_deletions(ctx_.now());
   if (names.empty()) return;
-  if (names.size() > wire::kMaxDelete) names.resize(wire::kMaxDelete);
   auto term = o.part->term();
   ctx_.cloud->remove(names, [this, id, term, names](bool ok) {
     if (stopped_) return;
--- a/src/part/estimator.cpp
+++ b/src/part/estimator.cpp
@@ -94,24 +94,35 @@
   return n == 0 ? Image::kAbsent : n < kMaxFetches ? Image::kBeside : Image::kBehind;
 }
 
-Machine* choose_machine(std::map<MachineName, Machine>& machines, const wire::Shape& s,
-                        const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job, bool warm,
-                        Instant now) {
-  Machine* best = nullptr;
-  std::pair<Image, double> best_rank;
-  for (auto& [name, m] : machines) {
-    if (!m.usable(now) || !allowed(s, m.type, m.zone, m.spot) || (zone && *zone != m.zone)) continue;
-    auto image = image_on(m, s.image);
-    if (warm ? image != Image::kHere : image == Image::kBehind) continue;
-    if (auto e = m.errors.find(job); e != m.errors.end() && now - e->second < kAvoidAfterError) continue;
-    if (room_on(m, s, rules, false) == 0) continue;
-    std::pair<Image, double> rank{image, (m.total - m.used()).cpus};
-    if (!best || rank < best_rank) {
-      best = &m;
-      best_rank = rank;
-    }
+bool has_room(const Machine& m, const RoomRules& rules) {
+  auto idle = m.total - m.used();
+  return idle.cpus > 0 && idle.memory_gb > 0 && m.live_tasks() < rules.task_cap;
+}
+
+std::vector<Machine*> choose_machines(const std::vector<Machine*>& machines, const wire::Shape& s,
+                                      const std::optional<Zone>& zone, const RoomRules& rules,
+                                      const JobId& job, bool warm, Instant now) {
+  struct Ranked {
+    Image image;
+    double idle;
+    Machine* machine;
+  };
+  std::vector<Ranked> found;
+  for (auto* m : machines) {
+    if (!m->usable(now) || !allowed(s, m->type, m->zone, m->spot) || (zone && *zone != m->zone)) continue;
+    auto image = image_on(*m, s.image);
+    if (!suits(image, warm)) continue;
+    if (auto e = m->errors.find(job); e != m->errors.end() && now - e->second < kAvoidAfterError) continue;
+    if (room_on(*m, s, rules, false) == 0) continue;
+    found.push_back({image, (m->total - m->used()).cpus, m});
   }
-  return best;
+  // Equals stay in the order of their names.
+  std::stable_sort(found.begin(), found.end(), [](const auto& a, const auto& b) {
+    return a.image != b.image ? a.image < b.image : a.idle < b.idle;
+  });
+  std::vector<Machine*> out;
+  for (const auto& f : found) out.push_back(f.machine);
+  return out;
 }
 
 }  // namespace beaconsill::part
--- a/src/part/estimator.h
+++ b/src/part/estimator.h
@@ -42,10 +42,18 @@
 };
 Image image_on(const Machine& m, const ImageName& image);
 
-// Placement: of the machines that have room those that hold the image first, then by how soon they will;
-// among equals the fullest. `warm`: only where the image is.
-Machine* choose_machine(std::map<MachineName, Machine>& machines, const wire::Shape& s,
-                        const std::optional<Zone>& zone, const RoomRules& rules, const JobId& job, bool warm,
-                        Instant now);
+// Whether a task may go where its image is like that. `warm`: only where the image is.
+inline bool suits(Image image, bool warm) {
+  return warm ? image == Image::kHere : image != Image::kBehind;
+}
+
+// Some room for some task: what is full needn't be looked at shape by shape.
+bool has_room(const Machine& m, const RoomRules& rules);
+
+// Placement: those of the machines that have room, best first: where the image is, then by how soon it will
+// be; among equals the fullest.
+std::vector<Machine*> choose_machines(const std::vector<Machine*>& machines, const wire::Shape& s,
+                                      const std::optional<Zone>& zone, const RoomRules& rules,
+                                      const JobId& job, bool warm, Instant now);
 
 }  // namespace beaconsill::part
--- a/src/part/machine.cpp
+++ b/src/part/machine.cpp
@@ -5,7 +5,9 @@
 namespace beaconsill::part {
 
 void ImageCache::use(const ImageName& image, double gb, Instant now) {
-  images_[image] = {gb, now};
+  auto [it, fresh] = images_.try_emplace(image);
+  it->second = {gb, now};
+  if (!fresh) return;
   double sum = 0;
   for (const auto& [name, e] : images_) sum += e.gb;
   while (sum > capacity_gb_ && images_.size() > 1) {
--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -16,6 +16,8 @@
 
 namespace beaconsill::part {
 
+constexpr std::size_t kMaxCommands = 128;  // in one message to a worker
+
 // A machine may still report an ended attempt of a task while it runs the next one.
 using TaskKey = std::pair<TaskId, Attempt>;
 
@@ -37,7 +39,11 @@
   bool stop_sent = false;
   bool may_forget = false;  // ended, and what it ended with is durable or of no use
   bool forget_sent = false;
+  std::uint64_t listed = 0;  // the last report of its machine that listed it, see Part::take_report
 };
+inline bool live(const TaskOn& t) {
+  return t.state != wire::TaskState::kEnded;
+}
 
 // The images a machine is thought to hold, the least recently used dropped first as the machine does.
 class ImageCache {
@@ -90,6 +96,8 @@
   // token.
   std::optional<Instant> doubted;
 
+  bool touched = false;  // there may be something to send, see Part::touch
+
   bool registered = false;  // in the state service, so that a successor waits for it
   bool closed = false;      // takes no more tasks: to be returned
   bool sick = false;
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -2,6 +2,7 @@
 // It has no sockets; the node carries its wishes out.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -103,6 +104,9 @@
   wire::ShapeRoom estimate(const wire::Shape& s, Instant now) const;
   wire::Summary summary(Instant now) const;
   std::uint32_t running(const JobId& id) const;
+  // Machines and tasks looked at so far: what a report, a grant or a question costs must not grow with all
+  // machines and tasks there are.
+  std::uint64_t effort() const { return effort_; }
 
  private:
   struct Slot {
@@ -137,12 +141,21 @@
     Instant not_before{};  // after failures
     bool dirty = false;    // its progress may differ from what is recorded
     bool untold = false;   // the same, since the leader was told
-    bool waits = false;    // some slot may be waiting
     void mark() { dirty = untold = true; }
   };
 
   // `hears`: the report answers commands, so they have reached the worker.
   bool take_report(const wire::Report& r, bool hears, Instant now);
+  // All changes of a machine's tasks go through these two, which keep `where_`.
+  std::pair<TaskOn&, bool> put(Machine& m, const TaskKey& key);  // whether it's new
+  std::map<TaskKey, TaskOn>::iterator drop(Machine& m, std::map<TaskKey, TaskOn>::iterator t);
+  // Calls `f(machine, key, task)` for all that machines list of the job.
+  template <class F>
+  void each_listed(const JobId& id, F f) const;
+  // There may be something to send to the machine.
+  void touch(Machine& m);
+  void wait(const JobId& id) { waiting_.insert(id); }
+  void erase_job(const JobId& id);
   // The attempt is off its machine: its task may be started anew.
   void requeue(const TaskKey& key, Instant now);
   void lose_all(Machine& m, Instant now);
@@ -156,20 +169,33 @@
   void check_leases(Instant now, Instant read);
   void check_notices(Instant now);
   void place_all(Instant now);
-  void place_gang(const JobId& id, PartJob& job, Instant now);
+  void place_gang(const JobId& id, PartJob& job, const std::vector<Machine*>& open, Instant now);
   void check_gangs(Instant now);
   void stop_mates(const JobId& id, double grace);
-  // Shapes, and zones that they are bound to, for which no machine has room in this pass.
-  using Full = std::vector<std::pair<wire::Shape, std::optional<Zone>>>;
+  // One pass over all that waits.
+  struct Pass {
+    Instant now;
+    std::vector<Machine*> open;  // machines with any room
+    // Shapes, and zones that they are bound to, for which no machine has room.
+    std::vector<std::pair<wire::Shape, std::optional<Zone>>> full;
+    // Room that is being made for tasks, and is theirs. Summed up when it's first asked for.
+    std::optional<std::map<MachineName, Resources>> promised;
+  };
   // `warm`: only where the image is.
-  void place_job(const JobId& id, PartJob& job, bool warm, Full& full, Instant now);
+  void place_job(const JobId& id, PartJob& job, bool warm, Pass& pass);
   void start(Machine& m, const TaskId& id, const PartJob& job, Slot& slot, Instant now);
   // False: there is no such machine. `warm`: only where the image is.
-  bool preempt_for(const PartJob& job, Slot& slot, bool warm, Instant now);
+  bool preempt_for(const PartJob& job, Slot& slot, bool warm, Pass& pass);
+  bool on_some_machine(const TaskId& id) const;
+  bool making_room(const Slot& slot, Instant now) const;
   void give_back(Instant now);
   void stop_strays(Instant now, Instant read);
+  void give_up(Machine& m, TaskOn& t);
   store::Progress progress_of(const PartJob& job) const;
-  void stop(TaskOn& t, double grace) { t.stop_grace = std::min(t.stop_grace.value_or(grace), grace); }
+  void stop(Machine& m, TaskOn& t, double grace) {
+    t.stop_grace = std::min(t.stop_grace.value_or(grace), grace);
+    touch(m);
+  }
   Machine& machine(const wire::Report& r, Instant now);
   void set_type(Machine& m);
   // Neither word from it nor, if it's in doubt that it hears, a sign of that for so long.
@@ -186,6 +212,13 @@
   std::shared_ptr<const wire::Catalogue> catalogue_;
   std::map<MachineName, Machine> machines_;
   std::map<JobId, PartJob> jobs_;
+  std::set<JobId> waiting_;  // jobs of which some task may be waiting
+  // The machines that list a task, one entry for each attempt: what is asked about a task or a job is
+  // answered without going through all machines.
+  std::map<TaskId, std::vector<Machine*>> where_;
+  std::vector<Machine*> touched_;
+  std::uint64_t reports_ = 0;
+  mutable std::uint64_t effort_ = 0;
   std::map<std::uint32_t, std::vector<store::MachineRecord>> registry_;  // as written
   std::set<MachineName> gone_;  // proved gone; their late reports are dropped
   std::uint64_t next_attempt_;
@@ -193,7 +226,21 @@
   bool registry_known_ = false;
   bool superseded_ = false;
   bool registry_dirty_ = true;  // what is registered may differ from what should be
-  Instant strays_checked_{};
+  Instant looked_{}, strays_checked_{};
 };
 
+template <class F>
+void Part::each_listed(const JobId& id, F f) const {
+  for (auto w = where_.lower_bound(TaskId{id, 0}); w != where_.end() && w->first.job == id; ++w)
+    for (std::size_t i = 0; i < w->second.size(); ++i) {
+      // A machine that lists several attempts stands there as often.
+      auto* m = w->second[i];
+      if (std::find(w->second.begin(), w->second.begin() + static_cast<std::ptrdiff_t>(i), m) !=
+          w->second.begin() + static_cast<std::ptrdiff_t>(i))
+        continue;
+      auto t = m->tasks.lower_bound({w->first, Attempt()});
+      for (; t != m->tasks.end() && t->first.first == w->first; ++t, ++effort_) f(*m, t->first, t->second);
+    }
+}
+
 }  // namespace beaconsill::part
--- /dev/null
+++ b/src/part/part_reports.cpp
@@ -0,0 +1,331 @@
+// Reports: what the workers say of themselves, and who else has owned them.
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.h"
+#include "part/part.h"
+
+namespace beaconsill::part {
+namespace {
+
+using wire::EndCause;
+using wire::TaskState;
+
+// A worker waits 4 s for an answer to its report: after a longer pause it has most likely waited in vain.
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(3900);
+constexpr Duration kErrorMemory = std::chrono::seconds(60);
+constexpr double kMaxBackoff = 30;
+constexpr std::size_t kSickJobs = 2;     // so many jobs fail on a machine: it is the machine
+constexpr std::size_t kBadMachines = 3;  // a job fails on so many machines: it is the job
+constexpr Duration kPointAgain = std::chrono::seconds(20);
+
+}  // namespace
+
+void Part::on_registry(const std::vector<store::MachineRecord>& records, Instant now) {
+  registry_.clear();
+  std::set<MachineName> written;
+  for (const auto& r : records) {
+    registry_[store::machine_bucket(r.name)].push_back(r);
+    written.insert(r.name);
+    if (gone_.contains(r.name)) continue;
+    auto [it, fresh] = machines_.try_emplace(r.name);
+    auto& m = it->second;
+    if (fresh) {
+      m.name = r.name;
+      m.type = r.type;
+      m.zone = r.zone;
+      m.spot = r.spot;
+      m.heard = now;
+      m.idle_since = now;
+      m.token = Token::first_of(term_);
+      m.quiet = params_.report_period * 3;
+      m.address = r.address;
+      m.sick = r.sick;
+      m.retry_at = now;
+      touch(m);
+      set_type(m);
+    }
+  }
+  for (auto& [name, m] : machines_) m.registered = written.contains(name);
+  registry_known_ = registry_dirty_ = true;
+  check_rebuilt(now);
+}
+
+std::map<std::uint32_t, std::vector<store::MachineRecord>> Part::unregistered() {
+  std::map<std::uint32_t, std::vector<store::MachineRecord>> wanted, out;
+  if (!registry_known_ || !registry_dirty_) return out;
+  // One that has only been heard of by a report under an earlier term isn't added: it may be a late copy by a
+  // machine that is gone, and would be waited for at the next takeover. Nothing is started there anyway.
+  for (const auto& [name, m] : machines_)
+    if (m.registered || m.reported)
+      wanted[store::machine_bucket(name)].push_back({m.name, m.type, m.zone, m.spot, m.address, m.sick});
+  for (std::uint32_t b = 0; b < store::kMachineBuckets; ++b) {
+    auto it = registry_.find(b);
+    auto have = it == registry_.end() ? std::vector<store::MachineRecord>{} : it->second;
+    std::sort(have.begin(), have.end(), [](const auto& x, const auto& y) { return x.name < y.name; });
+    if (have != wanted[b]) out[b] = wanted[b];
+  }
+  registry_dirty_ = !out.empty();  // until it's seen as written
+  return out;
+}
+
+Machine& Part::machine(const wire::Report& r, Instant now) {
+  auto [it, fresh] = machines_.try_emplace(r.machine);
+  auto& m = it->second;
+  if (fresh) {
+    m.name = r.machine;
+    m.idle_since = now;
+    m.token = Token::first_of(term_);
+    m.quiet = params_.report_period * 3;
+  }
+  if (m.type != r.type || !m.type_known) {
+    m.type = r.type;
+    set_type(m);
+  }
+  m.zone = r.zone;
+  m.spot = r.spot;
+  m.address = r.address;
+  return m;
+}
+
+Part::ReportAnswer Part::answer(const MachineName& name, Instant now) {
+  auto& m = machines_.at(name);
+  m.answered = now;
+  ReportAnswer a{m.token, {}};
+  if (m.channel != Machine::Channel::kFencing) return a;
+  for (const auto& [key, t] : m.tasks)
+    if (live(t) && t.stop_grace && a.commands.size() < kMaxCommands)
+      a.commands.push_back({wire::Command::Op::kStop, key.first, key.second, *t.stop_grace});
+  return a;
+}
+
+// A worker with running tasks that comes by way of another controller may be cut off from this one: pointed
+// here first, it could lose its lease before it's back. It's answered at once and pointed here later, to try.
+bool Part::point_here(const wire::Report& r, Instant now) {
+  auto it = machines_.find(r.machine);
+  bool busy =
+      std::any_of(r.tasks.begin(), r.tasks.end(), [](const auto& t) { return t.state != TaskState::kEnded; });
+  if (it == machines_.end() || !busy) return true;
+  auto& m = it->second;
+  if (m.redirected == Instant{}) {
+    // Never here under this term: a takeover, most likely, and this node is in reach.
+    if (m.heard_directly == Instant{}) {
+      m.redirected = now;
+      return true;
+    }
+    m.redirected = now;
+    return false;
+  }
+  if (now - m.redirected < kPointAgain) return false;
+  m.redirected = now;
+  return true;
+}
+
+void Part::supersede(Term t) {
+  if (t > term_) superseded_ = true;
+}
+
+bool Part::take_report(const wire::Report& r, bool hears, Instant now) {
+  if (gone_.contains(r.machine)) return false;
+  if (r.token.term() > term_) {
+    if (!superseded_)
+      spdlog::info("part {}: {} has seen term {}, ours is {}", id_.value(), r.machine.value(),
+                   r.token.term().value(), term_.value());
+    superseded_ = true;
+    return false;
+  }
+  auto& m = machine(r, now);
+  if (!r.newer_than(m.session, m.sequence)) {
+    spdlog::debug("{}: stale report {}/{} dropped", m.name.value(), r.session.value(), r.sequence.value());
+    return false;
+  }
+  bool lost = r.session != m.session;
+  if (lost) {
+    if (!m.tasks.empty())
+      spdlog::info("{}: its lease ran out, {} tasks are lost", m.name.value(), m.tasks.size());
+    lose_all(m, now);
+  }
+  bool waited = m.answered >= m.heard && now - m.heard >= kAnswerPatience;
+  m.session = r.session;
+  m.sequence = r.sequence;
+  m.heard = now;
+  m.token = std::max(m.token, r.token);
+  // It reports, but its lease ran out, or it made a pause as one does that waits for an answer.
+  if (m.reported && !hears && (lost || waited)) doubt(m, now);
+  if (!m.reported && r.token >= Token::first_of(term_)) {
+    m.reported = registry_dirty_ = true;
+    m.retry_at.reset();
+  }
+  if (r.notice_s) {
+    auto at = now + from_seconds(*r.notice_s);
+    if (!m.taken_at) spdlog::info("{}: to be taken back in {:.1f} s", m.name.value(), *r.notice_s);
+    m.taken_at = at;
+  } else {
+    m.taken_at.reset();
+  }
+  // The worker obeys nothing older than the fence any more: what had no answer is there, or never will be.
+  if (m.channel == Machine::Channel::kFencing && r.token >= m.token) settle(m, now);
+
+  touch(m);
+  ++reports_;
+  effort_ += r.tasks.size() + m.tasks.size();
+  for (const auto& x : r.tasks) {
+    TaskKey key{x.task, x.attempt};
+    auto [t, fresh] = put(m, key);
+    if (fresh) {
+      t.since = now;
+      if (auto* job = find_job(x.task.job)) t.spec = job->record.spec;
+    }
+    t.listed = reports_;
+    update(m, key, t, x, now);
+  }
+  for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+    // A start that isn't settled may still be carried out: its absence from a report proves nothing.
+    if (it->second.start != TaskOn::Start::kSettled || it->second.listed == reports_) {
+      ++it;
+      continue;
+    }
+    auto key = it->first;
+    it = drop(m, it);
+    requeue(key, now);
+  }
+  m.changed();
+  if (m.live_tasks() > 0) m.idle_since = now;
+  check_rebuilt(now);
+  return true;
+}
+
+void Part::update(Machine& m, const TaskKey& key, TaskOn& t, const wire::TaskReport& r, Instant now) {
+  bool was_live = live(t) || t.since == now;
+  t.start = TaskOn::Start::kSettled;
+  t.state = r.state;
+  t.cause = r.cause;
+  t.saved = r.saved;
+  if (r.state == TaskState::kRunning && !t.running_since) {
+    t.running_since = now;
+    spdlog::debug("{}: {} runs, {:.2f} s after it was placed", m.name.value(), wire::task_name(key.first),
+                  to_seconds(now - t.since));
+  }
+  if (t.spec && (r.state == TaskState::kRunning || r.state == TaskState::kWaiting))
+    m.images.use(t.spec->image, t.spec->image_gb, now);
+  if (live(t)) {
+    adopt(m, key, t, now);
+  } else if (was_live) {
+    on_ended(m, key, t, now);
+  }
+}
+
+// A live task that the books don't place here: after a takeover, or since its grant isn't known yet.
+void Part::adopt(Machine& m, const TaskKey& key, TaskOn& t, Instant) {
+  auto* slot = find_slot(key.first);
+  if (!slot) return;
+  if (slot->status == Slot::Status::kHeld || slot->status == Slot::Status::kWaiting) {
+    slot->status = Slot::Status::kPlaced;
+    slot->started = true;
+    slot->machine = m.name;
+    slot->attempt = key.second;
+  } else if (slot->status == Slot::Status::kPlaced &&
+             (slot->machine != m.name || slot->attempt != key.second) && !t.stop_grace) {
+    spdlog::error("{}: task {} is here as well as on {}", m.name.value(), wire::task_name(key.first),
+                  slot->machine.value());
+    stop(m, t, 0);
+  }
+}
+
+void Part::on_ended(Machine& m, const TaskKey& key, TaskOn& t, Instant now) {
+  if (t.cause == EndCause::kDone) {
+    if (auto* slot = find_slot(key.first)) {
+      if (slot->status != Slot::Status::kReturned) slot->status = Slot::Status::kDone;
+      jobs_[key.first.job].mark();
+    }
+    return;
+  }
+  t.may_forget = true;
+  if (t.cause == EndCause::kError || t.cause == EndCause::kUnknown) failed(m, key.first.job, now);
+  requeue(key, now);
+}
+
+void Part::requeue(const TaskKey& key, Instant now) {
+  auto* slot = find_slot(key.first);
+  if (!slot || slot->status != Slot::Status::kPlaced || slot->attempt != key.second) return;
+  slot->status = slot->earlier && !rebuilt_ ? Slot::Status::kHeld : Slot::Status::kWaiting;
+  slot->since = now;
+  wait(key.first.job);
+}
+
+void Part::lose_all(Machine& m, Instant now) {
+  std::vector<TaskKey> keys;
+  for (auto it = m.tasks.begin(); it != m.tasks.end(); it = drop(m, it)) keys.push_back(it->first);
+  m.changed();
+  m.channel = Machine::Channel::kIdle;
+  m.retry_at.reset();
+  m.idle_since = now;
+  for (const auto& key : keys) requeue(key, now);
+}
+
+// Evidence decides whom to blame: a machine on which many jobs fail is sick, a job that fails on many
+// machines is bad.
+void Part::failed(Machine& m, const JobId& id, Instant now) {
+  std::erase_if(m.errors, [&](const auto& e) { return now - e.second > kErrorMemory; });
+  m.errors[id] = now;
+  auto* job = find_job(id);
+  if (!job) return;
+  job->failed_on[m.name] = now;
+  if (job->failed_on.size() >= 2) {
+    ++job->failures;
+    job->not_before =
+        now + from_seconds(std::min(kMaxBackoff, std::pow(2.0, std::min(job->failures, 6) - 1)));
+  }
+  auto blamed = static_cast<std::size_t>(std::count_if(m.errors.begin(), m.errors.end(), [&](const auto& e) {
+    auto* j = find_job(e.first);
+    return !j || j->failed_on.size() < kBadMachines;
+  }));
+  if (!m.sick && blamed >= kSickJobs) {
+    m.sick = registry_dirty_ = true;
+    spdlog::info("{}: tasks of {} jobs failed here, set aside", m.name.value(), blamed);
+  }
+}
+
+// Nothing more is started there until the worker shows that it hears, by a token raised for that: by its
+// reports alone it would pass for sound, and start after start would be sent in vain.
+void Part::doubt(Machine& m, Instant now) {
+  if (m.channel == Machine::Channel::kBusy) return;  // the batch under way will tell
+  if (m.channel != Machine::Channel::kFencing) {
+    m.channel = Machine::Channel::kFencing;
+    m.token = m.token.raised();
+    m.retry_at = now;
+    touch(m);
+  }
+  if (!m.doubted) m.doubted = now;
+}
+
+void Part::settle(Machine& m, Instant) {
+  touch(m);
+  m.channel = Machine::Channel::kIdle;
+  m.retry_at.reset();
+  m.doubted.reset();
+  for (auto& [key, t] : m.tasks) {
+    if (t.start == TaskOn::Start::kSent) t.start = TaskOn::Start::kSettled;
+    t.stop_sent = t.forget_sent = false;
+  }
+}
+
+void Part::check_rebuilt(Instant now) {
+  if (rebuilt_ || !registry_known_) return;
+  for (const auto& [name, m] : machines_)
+    if (m.registered && !m.reported) return;
+  rebuilt_ = true;
+  std::size_t missing = 0;
+  for (auto& [id, job] : jobs_)
+    for (auto& [n, slot] : job.slots)
+      if (slot.status == Slot::Status::kHeld) {
+        slot.status = Slot::Status::kWaiting;
+        slot.since = now;
+        wait(id);
+        ++missing;
+      }
+  spdlog::info("part {}: rebuilt under term {} after {:.1f} s, {} machines, {} granted tasks on none of them",
+               id_.value(), term_.value(), to_seconds(now - began_), machines_.size(), missing);
+}
+
+}  // namespace beaconsill::part
