An owner that hears its workers through others only deletes none of them

More than half of the zone was heard, so it didn't count as cut off. Change: what has come by way of others only, for three report periods, counts as out of touch when it's judged whether this node is cut off. Test: Silence.AnOwnerThatHearsItsWorkersThroughOthersOnlyDeletesNone.

--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -77,8 +77,9 @@
   bool reported = false;  // under this owner's term: no earlier owner is obeyed any more
   Instant heard{};        // last report, or when the owner began to wait for one
   Instant answered{};  // last answer to a report; whether the worker got it is another matter, see `doubted`
-  Instant heard_directly{};  // last report that was not relayed by another controller
-  Instant redirected{};      // when the worker was last pointed here, or first answered by way of another
+  Instant heard_directly{};              // last report that was not relayed by another controller
+  std::optional<Instant> relayed_since;  // since when it has come by way of others only
+  Instant redirected{};  // when the worker was last pointed here, or first answered by way of another
   std::optional<Instant> taken_at;  // spot notice
   std::map<TaskKey, TaskOn> tasks;
   ImageCache images;
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -59,6 +59,8 @@
   // A report came by way of another controller: whether the worker is to be pointed here rather than answered
   // that way.
   bool point_here(const wire::Report& r, Instant now);
+  // Its report came to this node itself.
+  void on_heard_directly(const MachineName& m, Instant now);
   // The state of a job changed (none: it's gone).
   void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
   // Lets time pass and places tasks. `word`: all cancellations told before this time are known here, by
--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -130,13 +130,16 @@
                                   [&](const auto& m) { return out_of_touch(m.second, m.second.quiet, now); });
 }
 
-// More machines of a zone out of touch than single failures explain: rather this node is cut off from it.
+// More machines of a zone out of touch than single failures explain: rather this node is cut off from it. So
+// it is when their reports come by way of other controllers only, while commands don't get through: found on
+// a day when an owner that had lost its workers deleted some sixty sound ones, one after the other.
 std::set<Zone> Part::cut_off_zones(Instant now) const {
   std::map<Zone, std::pair<std::size_t, std::size_t>> count;  // out of touch, all
   for (const auto& [name, m] : machines_) {
     auto& [out, all] = count[m.zone];
     ++all;
-    if (out_of_touch(m, m.quiet, now)) ++out;
+    bool relayed_only = m.relayed_since && now - *m.relayed_since > m.quiet;
+    if (out_of_touch(m, m.quiet, now) || relayed_only) ++out;
   }
   std::set<Zone> zones;
   for (const auto& [zone, n] : count)
--- a/src/part/part_reports.cpp
+++ b/src/part/part_reports.cpp
@@ -109,6 +109,7 @@
       std::any_of(r.tasks.begin(), r.tasks.end(), [](const auto& t) { return t.state != TaskState::kEnded; });
   if (it == machines_.end() || !busy) return true;
   auto& m = it->second;
+  if (!m.relayed_since) m.relayed_since = now;
   if (m.redirected == Instant{}) {
     // Never here under this term: a takeover, most likely, and this node is in reach.
     if (m.heard_directly == Instant{}) {
@@ -123,6 +124,13 @@
   return true;
 }
 
+void Part::on_heard_directly(const MachineName& name, Instant now) {
+  auto* m = find_machine(name);
+  if (!m) return;
+  m->heard_directly = now;
+  m->relayed_since.reset();
+}
+
 void Part::supersede(Term t) {
   if (t > term_) superseded_ = true;
 }
--- a/tests/part_test.cpp
+++ b/tests/part_test.cpp
@@ -957,6 +957,30 @@
   }
 }
 
+// An owner that has lost its workers hears them by way of the other controllers, if at all: what it can't
+// command, and whom it hears late, is no proof that they are gone.
+TEST(Silence, AnOwnerThatHearsItsWorkersThroughOthersOnlyDeletesNone) {
+  for (bool directly : {true, false}) {
+    Bench b;
+    for (const char* n : {"m1", "m2", "m3", "m4", "m5", "m6"}) b.worker(n);
+    b.register_all(0);
+    std::size_t deleted = 0;
+    for (double t = 0; t < 30; t += 1) {
+      for (const char* n : {"m1", "m2", "m3", "m4", "m5", "m6"}) {
+        if (t > 10 && (n == std::string("m5") || n == std::string("m6"))) continue;
+        auto& w = b.worker(n);
+        if (t == 0)
+          w.tasks.push_back({{JobId("run-1"), 0}, Attempt(1), TaskState::kRunning, EndCause::kDone, false});
+        if (!directly && t > 0) b.part.point_here(w, at(t));
+        b.report(n, t);
+        if (directly) b.part.on_heard_directly(w.machine, at(t));
+      }
+      deleted += b.part.take_deletions(at(t)).size();
+    }
+    EXPECT_EQ(deleted, directly ? 2u : 0u) << directly;
+  }
+}
+
 TEST(Silence, TheLeaseProvesOnlyWithALaterReadOfTheRole) {
   struct Case {
     double now, read;
