--- a/src/lead/queue.cpp
+++ b/src/lead/queue.cpp
@@ -67,10 +67,11 @@
   cpus = std::max(cpus, 1.0);
   using Place = std::tuple<double, JobId, const TimedJob*>;
   std::set<Place> ahead, kept;  // by when they have to start
-  // For the first of its times that it can keep by starting at `t` or later.
+  // For the first of its times that it can keep by starting after `t`. Its work counts in full, and at any
+  // time what runs is half done: so the last of it ends half a run time after its share of the work is.
   auto next_start = [](const TimedJob& j, double t) -> std::optional<double> {
     for (double due : j.due)
-      if (due - j.least_s > t) return due - j.least_s;
+      if (due >= j.least_s && due - j.least_s / 2 > t) return due - j.least_s / 2;
     return std::nullopt;
   };
   for (const auto& j : jobs)
--- a/src/lead/queue.h
+++ b/src/lead/queue.h
@@ -31,7 +31,7 @@
 struct TimedJob {
   JobId id;
   double work = 0;          // CPU seconds left, by the owner's estimate
-  double least_s = 0;       // its tasks' run time: the last one has to start so long before
+  double least_s = 0;       // its tasks' run time: it can't be complete sooner than this
   std::vector<double> due;  // seconds from now, ascending; may have passed
 };
 
