--- /dev/null
+++ b/src/lead/lead_order.cpp
@@ -0,0 +1,111 @@
+// The order in which waiting jobs are served: their times, limits and longest waits.
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.h"
+#include "lead/counts.h"
+#include "lead/lead.h"
+
+namespace beaconsill::lead {
+namespace {
+
+// Tasks of one job that may be out at once: bounds the values in the state service.
+constexpr std::uint32_t kWindow = 2000;
+// In multiples of the longest wait: from when on a job that got nothing goes before work of higher priority.
+constexpr double kBeforeAll = 1.3;
+// What can keep none of its times comes after all that can.
+constexpr std::int64_t kTooLate = std::int64_t{1} << 50;
+// What is left of a task that is out, on average.
+constexpr double kUnderWay = 0.5;
+
+}  // namespace
+
+// The times that the objectives and the job itself set, from its submission.
+std::vector<std::int64_t> Lead::due(const wire::JobSpec& spec, WallMs submitted) const {
+  std::set<double> times;
+  for (const auto& o : objectives_) {
+    if (o.job_class != spec.job_class) continue;
+    if (o.kind == "deadline" && spec.deadline_s) times.insert(*spec.deadline_s * o.times);
+    if (o.kind == "finished" && o.within_s > 0) times.insert(o.within_s);
+    // All its tasks are to start by then; the last of them is complete a run time later.
+    if (o.kind == "wait" && o.within_s > 0) times.insert(o.within_s + spec.estimate_s);
+  }
+  if (times.empty() && spec.deadline_s) times.insert(*spec.deadline_s);
+  std::vector<std::int64_t> out;
+  for (double t : times) out.push_back(submitted.value() + static_cast<std::int64_t>(t * 1000));
+  return out;
+}
+
+double Lead::overdue(const Entry& e, WallMs wall) const {
+  if (e.out > 0 || !e.done.empty() || params_.longest_wait <= Duration(0)) return 0;
+  return static_cast<double>(wall.value() - e.record.submitted.value()) / 1000 /
+         to_seconds(params_.longest_wait);
+}
+
+std::vector<QueuedJob> Lead::order(WallMs wall) const {
+  std::vector<TimedJob> timed;
+  double cpus = 0, begun = 0;
+  for (const auto& [id, e] : jobs_) {
+    const auto& spec = *e.record.spec;
+    if (e.end || spec.kind == JobKind::kService) continue;
+    cpus += spec.each.cpus * e.out;
+    if (e.pending.empty()) {
+      begun += spec.each.cpus * spec.estimate_s * kUnderWay * e.out;
+      continue;
+    }
+    TimedJob t{
+        id, spec.each.cpus * spec.estimate_s * (e.pending.count() + kUnderWay * e.out), spec.estimate_s, {}};
+    for (auto due : e.due_ms) t.due.push_back(static_cast<double>(due - wall.value()) / 1000);
+    timed.push_back(std::move(t));
+  }
+  // When work waits, what is out is what the machines can hold.
+  auto planned = plan_starts(timed, cpus, begun);
+  if (spdlog::should_log(spdlog::level::debug)) {
+    double work = begun;
+    for (const auto& t : timed) work += t.work;
+    spdlog::debug("plan: {} jobs, {:.0f} CPU s for {:.0f} CPUs, {} of them can keep none of their times",
+                  timed.size(), work, cpus, timed.size() - planned.size());
+  }
+  std::vector<QueuedJob> waiting;
+  for (const auto& [id, e] : jobs_) {
+    if (e.pending.empty() || e.end) continue;
+    auto n = std::min(e.pending.count(), allowed_by_quota(e, usage_));
+    bool gang = e.record.spec->kind == JobKind::kGang;
+    // A gang is granted as a whole, and anew only once nothing of its last attempt is left anywhere.
+    if (n == 0 || (gang && n < e.pending.count())) continue;
+    QueuedJob q;
+    q.id = id;
+    q.team = e.record.spec->team;
+    q.priority = e.record.spec->priority;
+    q.due_ms = q.submitted_ms = e.record.submitted.value();
+    q.wanted = e.record.spec->each * static_cast<double>(n);
+    auto waits = overdue(e, wall);
+    q.overdue = waits < 1 ? 0 : waits < kBeforeAll ? 1 : 2;
+    if (!e.due_ms.empty() && e.record.spec->kind != JobKind::kService) {
+      auto start = planned.find(id);
+      q.due_ms = start == planned.end() ? e.due_ms.back() + kTooLate
+                                        : wall.value() + static_cast<std::int64_t>(start->second * 1000);
+    }
+    waiting.push_back(std::move(q));
+  }
+  return serve_order(std::move(waiting), teams_, usage_);
+}
+
+std::uint32_t Lead::allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const {
+  const auto& spec = *e.record.spec;
+  // What was told to be returned is in the ledger until the write that grants it anew.
+  double n = kWindow > e.charged ? kWindow - e.charged : 0;
+  for (const auto& t : teams_) {
+    if (t.name != spec.team) continue;
+    auto it = usage.find(t.name);
+    Resources used = it == usage.end() ? Resources{} : it->second;
+    if (t.cpus_max > 0 && spec.each.cpus > 0)
+      n = std::min(n, std::floor((t.cpus_max - used.cpus) / spec.each.cpus + kRoundingSlack));
+    if (t.gpus_max > 0 && spec.each.gpus > 0)
+      n = std::min(n, std::floor((t.gpus_max - used.gpus) / spec.each.gpus + kRoundingSlack));
+  }
+  n = std::max(n, 0.0) + e.told_returned;
+  return static_cast<std::uint32_t>(n);
+}
+
+}  // namespace beaconsill::lead
