Simulation split by concern, with a scripted form

tests/simulation.h was one class of 988 lines.

A test can build a World without drawn troubles and lost messages, and set troubles, users' requests and probes at chosen times (tests/sim/world.h has an example, tests/sim_script_test.cpp uses each).

--- /dev/null
+++ b/tests/sim/clock.h
@@ -0,0 +1,54 @@
+// The queue of events, the time and the luck. All times are in seconds of simulated time.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <random>
+
+#include "base/types.h"
+
+namespace beaconsill::sim {
+
+class EventQueue {
+ public:
+  EventQueue(std::uint64_t seed, bool noise) : rng_(seed), noise_(noise) {}
+
+  double now() const { return now_; }
+  Instant instant() const { return instant(now_); }
+  static Instant instant(double t) { return Instant{} + from_seconds(1000 + t); }
+  WallMs wall() const { return WallMs(static_cast<std::int64_t>(now_ * 1000)); }
+
+  std::uint64_t draw() { return rng_(); }
+  double uniform(double a, double b) { return a + (b - a) * static_cast<double>(draw() % 100000) / 100000; }
+  bool chance(double p) { return uniform(0, 1) < p; }
+  // Whether a rare mishap of a single message comes about. Never if the schedule is without noise.
+  bool mishap(double p) { return noise_ && chance(p); }
+
+  void at(double t, std::function<void()> f) { events_.emplace(std::max(t, now_), std::move(f)); }
+  void after(double d, std::function<void()> f) { at(now_ + d, std::move(f)); }
+  void every(double d, std::function<void()> f) {
+    after(d, [this, d, f] {
+      f();
+      every(d, f);
+    });
+  }
+
+  bool empty() const { return events_.empty(); }
+  // Lets the next event happen.
+  void step() {
+    auto e = events_.begin();
+    now_ = e->first;
+    auto f = std::move(e->second);
+    events_.erase(e);
+    f();
+  }
+
+ private:
+  std::mt19937_64 rng_;
+  bool noise_;
+  double now_ = 0;
+  std::multimap<double, std::function<void()>> events_;
+};
+
+}  // namespace beaconsill::sim
--- /dev/null
+++ b/tests/sim/environment.h
@@ -0,0 +1,35 @@
+// What a simulated controller finds around it.
+#pragma once
+
+#include <functional>
+
+#include "part/parting.h"
+#include "sim/cloud.h"
+#include "sim/network.h"
+#include "sim/options.h"
+#include "sim/state_service.h"
+#include "sim/workers.h"
+#include "wire/cloud.h"
+
+namespace beaconsill::sim {
+
+class Controller;
+
+struct Environment {
+  const Options& options;
+  EventQueue& queue;
+  Network& network;
+  StateService& state;
+  Workers& workers;
+  Cloud& cloud;
+  Outcome& outcome;
+  const part::Parting& parting;
+  std::shared_ptr<const wire::Catalogue> catalogue;
+  std::function<Controller&(int)> controller;
+
+  static NodeName name(int node) { return NodeName("n" + std::to_string(node)); }
+  static Zone zone(int node) { return Zone(node == 1 ? "west" : "east"); }
+  static int number(const NodeName& name) { return name.value()[1] - '0'; }
+};
+
+}  // namespace beaconsill::sim
--- /dev/null
+++ b/tests/sim/options.h
@@ -0,0 +1,60 @@
+// What a simulated schedule consists of, and what came of it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace beaconsill::sim {
+
+constexpr int kControllers = 3;
+// The settings of the simulated deployment, in seconds and CPUs.
+constexpr double kLease = 10;
+constexpr double kCancelLimit = 40;
+constexpr double kTeamCpus = 30;
+// Once troubles are over, so long a time is left before everything has to be in order.
+constexpr double kCalmAfter = 30;
+
+// Mistakes that the checkers must find.
+enum class Mistake {
+  kNone,
+  kRegistryNotRead,     // a new owner doesn't wait for the machines of the one before it
+  kCancellationUnseen,  // owners don't learn of cancellations
+  kNoRoleCondition,     // leaders write though they have been replaced
+  kReturnsUntold,       // what a part returns nobody learns of
+  kLimitIgnored,        // the leader knows no team's limit
+  kDoneTooSoon,         // a job passes for done when half of its tasks are
+  kCopiesAreNews,       // late copies of reports pass for the newest word
+  kZoneIgnored,         // the zone that a job sets gets lost
+};
+
+struct Options {
+  std::uint64_t seed = 1;
+  int machines = 14;
+  int jobs = 26;           // drawn ones
+  double troubles_s = 90;  // drawn troubles come until then
+  double end_s = 300;      // by then everything must be served
+  double report_s = 1;
+  bool drawn_troubles = true;  // crashes, outages and so on at drawn times
+  bool noise = true;           // the rare losses, delays and repetitions of single messages
+  Mistake mistake = Mistake::kNone;
+
+  // Nothing happens but what a test scripts, and messages are never lost.
+  static Options scripted(std::uint64_t seed = 1) {
+    Options o;
+    o.seed = seed;
+    o.jobs = 0;
+    o.drawn_troubles = o.noise = false;
+    return o;
+  }
+};
+
+struct Outcome {
+  std::map<std::string, int> broken;  // rule -> how often
+  std::string first;                  // what was seen first
+  int started = 0;
+  int takeovers = 0;
+  double served_at = 0;  // when everything was in order after the troubles; 0: never
+};
+
+}  // namespace beaconsill::sim
--- /dev/null
+++ b/tests/sim/world.cpp
@@ -0,0 +1,153 @@
+#include "sim/world.h"
+
+namespace beaconsill::sim {
+namespace {
+
+const std::vector<Zone>& zones() {
+  static const std::vector<Zone> all{Zone("east"), Zone("west"), Zone("north")};
+  return all;
+}
+
+config::Settings settings() {
+  config::Settings s;
+  s.node = Environment::name(0);
+  s.zone = Environment::zone(0);
+  for (int n = 1; n < kControllers; ++n) s.peers.push_back({Environment::name(n), Environment::zone(n), ""});
+  s.zones = zones();
+  return s;
+}
+
+std::shared_ptr<const wire::Catalogue> catalogue() {
+  auto c = std::make_shared<wire::Catalogue>();
+  (*c)[MachineType("t8")] = {MachineType("t8"), {8, 0, 32}, 20, 0.5, 1, 0.5, 5, zones()};
+  return c;
+}
+
+double lost_answers(Mistake m) {
+  // Old leaders' writes come late more often, so that the mistake shows soon.
+  return m == Mistake::kNoRoleCondition ? 0.15 : 0.015;
+}
+
+wire::JobSpec job(const std::string& id, std::uint32_t tasks, const std::string& team, JobKind kind) {
+  wire::JobSpec s;
+  s.id = JobId(id);
+  s.job_class = "c";
+  s.team = Team(team);
+  s.kind = kind;
+  s.priority = kind == JobKind::kService ? Priority::kHigh : Priority::kNormal;
+  s.tasks = tasks;
+  s.each = {1, 0, 1};
+  s.image = ImageName("img-0");
+  s.image_gb = 1;
+  s.estimate_s = kind == JobKind::kService ? 0 : 3;
+  return s;
+}
+
+}  // namespace
+
+wire::JobSpec array_job(const std::string& id, std::uint32_t tasks, const std::string& team) {
+  return job(id, tasks, team, JobKind::kArray);
+}
+
+wire::JobSpec service_job(const std::string& id, std::uint32_t replicas, const std::string& team) {
+  return job(id, replicas, team, JobKind::kService);
+}
+
+World::World(Options o)
+    : options_(o),
+      queue_(o.seed, o.noise),
+      network_(queue_),
+      rules_(queue_, books_, outcome_, [this] { workers_.advance_all(); }),
+      state_(queue_, network_, lost_answers(o.mistake), [this](const auto& w) { rules_.on_written(w); }),
+      parting_(settings()),
+      workers_(queue_, network_, books_, rules_, outcome_, options_,
+               [this](int n, const auto& r) { return controller(n).on_report(r); }),
+      cloud_(queue_, books_, [this](const auto& m) { workers_.on_added(m); }),
+      env_{options_, queue_,   network_, state_,      workers_,
+           cloud_,   outcome_, parting_, catalogue(), [this](int n) -> Controller& { return controller(n); }},
+      users_(env_, books_),
+      troubles_(env_, books_) {
+  for (int n = 0; n < kControllers; ++n)
+    controllers_[static_cast<std::size_t>(n)] = std::make_unique<Controller>(n, env_);
+  for (int i = 0; i < o.machines; ++i) cloud_.add_machine();
+}
+
+void World::script(double at_s, std::function<void()> f) {
+  last_request_ = std::max(last_request_, at_s);
+  queue_.at(at_s, std::move(f));
+}
+
+void World::at(double at_s, std::function<void()> f) {
+  script(at_s, std::move(f));
+}
+
+void World::submit(double at_s, const wire::JobSpec& spec, int node, std::optional<double> run_s) {
+  script(at_s, [this, spec, node, run_s] { users_.submit(node, spec, run_s); });
+}
+
+void World::cancel(double at_s, const JobId& id, int node) {
+  script(at_s, [this, id, node] { users_.cancel(node, id); });
+}
+
+void World::poll(double at_s, const JobId& id, int node) {
+  script(at_s, [this, id, node] { users_.poll(node, id); });
+}
+
+void World::poll_all(double at_s, const JobId& id) {
+  for (int n = 0; n < kControllers; ++n) poll(at_s, id, n);
+}
+
+std::vector<MachineName> World::running_on(const JobId& id) const {
+  std::vector<MachineName> out;
+  for (const auto& [name, m] : books_.machines)
+    if (!m.gone && std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
+          return t.first.first.job == id && t.second.running && !t.second.ended;
+        }))
+      out.push_back(name);
+  return out;
+}
+
+std::optional<Answer> World::last_answer(const JobId& id, Ask ask) const {
+  const auto& all = answers();
+  auto it =
+      std::find_if(all.rbegin(), all.rend(), [&](const auto& a) { return a.job == id && a.ask == ask; });
+  if (it == all.rend()) return std::nullopt;
+  return *it;
+}
+
+Outcome World::run() {
+  for (int n = 0; n < kControllers; ++n) queue_.at(0.05 * n, [this, n] { controller(n).start(); });
+  for (int i = 0; i < options_.jobs; ++i)
+    queue_.at(1 + queue_.uniform(0, options_.troubles_s * 0.8), [this, i] { users_.submit_drawn(i); });
+  if (options_.drawn_troubles) troubles_.draw_until(options_.troubles_s);
+  queue_.every(1, [this] {
+    rules_.look();
+    check_served();
+  });
+  while (!queue_.empty() && now() < options_.end_s && outcome_.broken.empty() && outcome_.served_at == 0) {
+    queue_.step();
+    check_probes();
+  }
+  if (outcome_.served_at == 0 && outcome_.broken.empty()) {
+    std::string waiting;
+    for (auto& [id, j] : books_.jobs)
+      if (!rules_.satisfied(id, j, state_)) waiting += " " + id.value();
+    rules_.broke("forgotten", "not served by the end:" + waiting);
+  }
+  return outcome_;
+}
+
+void World::check_served() {
+  if (now() <= std::max(troubles_.over(), last_request_) + kCalmAfter) return;
+  if (books_.jobs.size() < static_cast<std::size_t>(options_.jobs)) return;
+  for (auto& [id, j] : books_.jobs)
+    if (!rules_.satisfied(id, j, state_)) return;
+  outcome_.served_at = now();
+}
+
+void World::check_probes() {
+  for (auto& [name, predicate] : probes_)
+    if (auto why = predicate(*this)) rules_.broke(name, *why);
+}
+
+}  // namespace beaconsill::sim
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -5,7 +5,7 @@
 #include <CLI/CLI.hpp>
 
 #include "base/log.h"
-#include "simulation.h"
+#include "sim/world.h"
 
 namespace beaconsill::sim {
 namespace {
