A late report at a new owner no longer stops the task that runs elsewhere

Cause: a new owner can't know that the first report it gets of a machine is a late copy. It took a task listed there for placed there, and when the machine that really runs it reported, stopped that one as a second copy. A late copy that lists an earlier attempt on the same machine did the same.

Change: only machines that have reported under the owner's term decide; a place that rests on an older report gives way. A gang's task, whose attempt is the same wherever it was started, isn't queued again when the old place goes.

--- a/src/part/part.h
+++ b/src/part/part.h
@@ -166,6 +166,7 @@
   void on_ended(Machine& m, const TaskKey& key, TaskOn& t, Instant now);
   void failed(Machine& m, const JobId& job, Instant now);
   void adopt(Machine& m, const TaskKey& key, TaskOn& t, Instant now);
+  bool outdated(const Slot& slot, const TaskId& task, const Machine& m, const TaskOn& t);
   void update(Machine& m, const TaskKey& key, TaskOn& t, const wire::TaskReport& r, Instant now);
   void settle(Machine& m, Instant now);
   void doubt(Machine& m, Instant now);
--- a/src/part/part_reports.cpp
+++ b/src/part/part_reports.cpp
@@ -231,17 +231,33 @@
 void Part::adopt(Machine& m, const TaskKey& key, TaskOn& t, Instant) {
   auto* slot = find_slot(key.first);
   if (!slot) return;
-  if (slot->status == Slot::Status::kHeld || slot->status == Slot::Status::kWaiting) {
+  bool open = slot->status == Slot::Status::kHeld || slot->status == Slot::Status::kWaiting;
+  bool elsewhere = slot->status == Slot::Status::kPlaced &&
+                   (slot->machine != m.name || slot->attempt != key.second) && !t.stop_grace;
+  if (!open && !elsewhere) return;
+  if (elsewhere && !m.reported) return;
+  if (open || outdated(*slot, key.first, m, t)) {
     slot->status = Slot::Status::kPlaced;
     slot->started = true;
     slot->machine = m.name;
     slot->attempt = key.second;
-  } else if (slot->status == Slot::Status::kPlaced &&
-             (slot->machine != m.name || slot->attempt != key.second) && !t.stop_grace) {
-    spdlog::error("{}: task {} is here as well as on {}", m.name.value(), wire::task_name(key.first),
-                  slot->machine.value());
-    stop(m, t, 0);
+    return;
   }
+  spdlog::error("{}: task {} is here as well as on {}", m.name.value(), wire::task_name(key.first),
+                slot->machine.value());
+  stop(m, t, 0);
+}
+
+// Whether the place that the books give a task rests on an old report. A new owner can't tell an old report
+// from a new one until the machine reports under its term: a copy that came late, by a machine that is gone
+// say, would have the sound task stopped for a second one.
+bool Part::outdated(const Slot& slot, const TaskId& task, const Machine& m, const TaskOn& t) {
+  auto* other = find_machine(slot.machine);
+  if (!other) return true;
+  if (other != &m) return !other->reported;
+  auto listing = m.tasks.find({task, slot.attempt});
+  if (listing == m.tasks.end()) return true;
+  return listing->second.start == TaskOn::Start::kSettled && listing->second.listed < t.listed;
 }
 
 void Part::on_ended(Machine& m, const TaskKey& key, TaskOn& t, Instant now) {
@@ -260,6 +276,11 @@
 void Part::requeue(const TaskKey& key, Instant now) {
   auto* slot = find_slot(key.first);
   if (!slot || slot->status != Slot::Status::kPlaced || slot->attempt != key.second) return;
+  // A gang's task has the same attempt wherever it was started under it: another machine may list it.
+  if (auto* m = find_machine(slot->machine)) {
+    auto t = m->tasks.find(key);
+    if (t != m->tasks.end() && live(t->second)) return;
+  }
   slot->status = slot->earlier && !rebuilt_ ? Slot::Status::kHeld : Slot::Status::kWaiting;
   slot->since = now;
   wait(key.first.job);
