The view keeps no deleted key alive: late own answers, any order, loads anew

Cause: of a deleted key the view kept no version. The late answer to an own transaction, processed after a read that had seen the key come and go, brought it back for good; so did a list of changes in which the deletion stands before the change, which the protocol doesn't rule out. The leader would then try to drop a job that isn't there, and each such transaction fails with all that it holds. A load anew forgot the jobs dropped meanwhile without telling leader and owners.

Change: the view ignores what is not newer than what it is complete to, applies lists in the order of the revisions, and counts all that it forgets as touched. Nothing is applied during a load.

--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -91,8 +91,9 @@
                  if (r.outcome == Outcome::kOk) {
                    try {
                      auto changes = wire::parse_changes(r.body);
-                     for (const auto& c : changes.changes) me->view_.apply(c);
+                     me->view_.apply_all(std::move(changes.changes));
                      me->revision_ = std::max(me->revision_, changes.revision);
+                     me->view_.complete_to(me->revision_);
                      me->word_ = begun;
                      me->ready_ = ok = true;
                    } catch (const wire::WireError& e) {
@@ -146,6 +147,8 @@
 }
 
 void Mirror::apply_own(const wire::Txn& t, Revision r) {
+  // What is written during a load comes with its pages or the read after them, and may be deleted by then.
+  if (!loaded_) return;
   for (const auto& w : t.writes) view_.apply({w.key, w.value, r});
   settle();
 }
--- a/src/store/view.cpp
+++ b/src/store/view.cpp
@@ -110,21 +110,37 @@
   return it == machines_.end() ? kNone : it->second;
 }
 
+// Found by reading the code: a leader that kept jobs which were dropped while it couldn't read would grant
+// their tasks again and again, and each such transaction fails with all that it holds.
 void View::clear() {
+  for (const auto& [id, job] : jobs_) touched_.jobs.insert(id);
+  for (const auto& [id, end] : ends_) touched_.jobs.insert(id);
+  for (const auto& [key, machines] : machines_) touched_.machines.insert(key.first);
+  touched_.roles = true;
+  complete_to_ = {};
   jobs_.clear();
   ends_.clear();
   parts_.clear();
   leader_ = {};
   alive_.clear();
   machines_.clear();
-  touched_ = {};
 }
 
 View::Touched View::take_touched() {
   return std::exchange(touched_, {});
 }
 
+// The protocol promises no order within an answer, and its example lists a deletion after a newer change.
+void View::apply_all(std::vector<wire::Change> changes) {
+  std::stable_sort(changes.begin(), changes.end(),
+                   [](const auto& a, const auto& b) { return a.version < b.version; });
+  for (const auto& c : changes) apply(c);
+}
+
 void View::apply(const wire::Change& c) {
+  // Found by reading the code: the late answer to an own transaction brought back a key that a read had
+  // already seen deleted, for good.
+  if (c.version <= complete_to_) return;
   if (!c.key.starts_with(kPrefix)) return;
   auto [kind, rest] = split(std::string_view(c.key).substr(kPrefix.size()));
   try {
--- a/src/store/view.h
+++ b/src/store/view.h
@@ -2,6 +2,7 @@
 // than once: for each key the one with the highest version stands.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -45,7 +46,11 @@
   };
 
   void apply(const wire::Change& c);
-  // Forgets everything, for a new load.
+  // Changes read together, in whatever order they are listed.
+  void apply_all(std::vector<wire::Change> changes);
+  // All changes up to this revision were applied.
+  void complete_to(Revision r) { complete_to_ = std::max(complete_to_, r); }
+  // Forgets everything, for a new load. All that was known counts as touched: it may not come back.
   void clear();
   // What has changed since the last call.
   Touched take_touched();
@@ -70,6 +75,7 @@
   Versioned<Role> leader_;
   std::map<NodeName, Revision> alive_;
   std::map<std::pair<PartId, std::uint32_t>, Versioned<std::vector<MachineRecord>>> machines_;
+  Revision complete_to_;
   Touched touched_;
 };
 
