Grants without an answer are made void before the next round

Cause: a transaction whose answer is lost may be carried out seconds later. The leader read, saw it not applied, and gave the same room of a team's limit to other jobs. Change: the leader writes its role's key anew, value unchanged, and reads, before the next round begins. Every transaction of a leader rests on that key's version, so the late one fails.

--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t kMaxGrants = 8;
 constexpr double kValueShare = 0.9;  // of the limit for a value
 constexpr Duration kEndAgain = std::chrono::milliseconds(500);
+constexpr Duration kVoidAgain = std::chrono::milliseconds(500);
 }  // namespace
 
 LeaderDuty::LeaderDuty(Context& ctx, PeersDuty& peers, WorkersDuty& workers)
@@ -42,6 +43,7 @@
 void LeaderDuty::lead(Term term) {
   term_ = term;
   read_ = reading_ = false;
+  unanswered_.reset();
   lead::LeadParams p;
   p.reply_wait = ctx_.policy.reply_wait;
   p.report_period = from_seconds(ctx_.settings.report_s);
@@ -64,6 +66,7 @@
 void LeaderDuty::unlead() {
   lead_.reset();
   capacity_.reset();
+  unanswered_.reset();
   ending_.clear();
   tidying_.clear();
 }
@@ -144,6 +147,7 @@
 void LeaderDuty::pump() {
   if (!lead_) return;
   read_all();
+  void_unanswered();
   rounds();
   write_ends();
 }
@@ -185,25 +189,63 @@
     t.writes.push_back({store::grants_key(g.job), store::to_json(g.grants), std::nullopt});
   }
   auto urgency = services ? store::Urgency::kUser : store::Urgency::kWork;
-  ctx_.store->txn(t, urgency, [this, t, term = term_, grants = *grants](store::TxnResult r) {
+  ctx_.store->txn(t, urgency,
+                  [this, t, term = term_, role = leader->version, grants = *grants](store::TxnResult r) {
+                    if (!lead_ || term != term_) return;
+                    if (r.outcome == store::Outcome::kOk) {
+                      for (const auto& g : grants)
+                        for (const auto& c : g.grants.chunks)
+                          spdlog::debug("{}: granted {} tasks to part {}{}", g.job.value(), c.tasks.count(),
+                                        c.part.value(), c.preempt ? ", by force" : "");
+                      lead_->on_granted(grants, r.revision, ctx_.now());
+                      ctx_.mirror->apply_own(t, r.revision);
+                      peers_.broadcast(wire::Nudge{r.revision});
+                      return kick();
+                    }
+                    if (r.outcome == store::Outcome::kUnknown) {
+                      unanswered_ = Unanswered{grants, role, {}, false};
+                      return void_unanswered();
+                    }
+                    // Refused: something else was applied. Look before the next round.
+                    ctx_.mirror->sync([this, term, grants](bool) {
+                      if (lead_ && term == term_) lead_->on_granted(grants, std::nullopt, ctx_.now());
+                    });
+                  });
+}
+
+// A transaction without an answer may be carried out seconds later. The next round would meanwhile give the
+// same room of a team's limit to other jobs, whose keys the late one doesn't rest on: both would stand, and
+// the team be over its limit. Every transaction of a leader rests on the version of its role's key, so
+// writing that key anew, its value unchanged, leaves the late one without effect.
+void LeaderDuty::void_unanswered() {
+  if (!unanswered_ || unanswered_->busy || ctx_.now() < unanswered_->retry_at) return;
+  auto leader = still_leader();
+  if (!leader) return;
+  unanswered_->busy = true;
+  unanswered_->retry_at = ctx_.now() + kVoidAgain;
+  wire::Txn t;
+  t.conditions = {*leader};
+  t.writes = {{leader->key, store::to_json(store::Role{ctx_.settings.node, term_}), std::nullopt}};
+  ctx_.store->txn(t, store::Urgency::kRole, [this, t, term = term_](store::TxnResult r) {
     if (!lead_ || term != term_) return;
-    if (r.outcome == store::Outcome::kOk) {
-      for (const auto& g : grants)
-        for (const auto& c : g.grants.chunks)
-          spdlog::debug("{}: granted {} tasks to part {}{}", g.job.value(), c.tasks.count(), c.part.value(),
-                        c.preempt ? ", by force" : "");
-      lead_->on_granted(grants, r.revision, ctx_.now());
-      ctx_.mirror->apply_own(t, r.revision);
-      peers_.broadcast(wire::Nudge{r.revision});
-      return kick();
-    }
-    // It may have been applied, or something else was: look before the next round.
-    ctx_.mirror->sync([this, term, grants](bool) {
-      if (lead_ && term == term_) lead_->on_granted(grants, std::nullopt, ctx_.now());
+    if (r.outcome == store::Outcome::kOk) ctx_.mirror->apply_own(t, r.revision);
+    // With or without an answer: a read from here on shows what became of both.
+    ctx_.mirror->sync([this, term](bool ok) {
+      if (lead_ && term == term_) on_voided(ok);
     });
   });
 }
 
+void LeaderDuty::on_voided(bool read) {
+  if (!unanswered_) return;
+  unanswered_->busy = false;
+  if (!read || ctx_.view().leader().version <= unanswered_->role_version) return;
+  auto grants = std::move(unanswered_->grants);
+  unanswered_.reset();
+  lead_->on_granted(grants, std::nullopt, ctx_.now());
+  kick();
+}
+
 void LeaderDuty::write_ends() {
   auto leader = still_leader();
   if (!leader || ctx_.now() < ends_again_) return;
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -35,6 +35,9 @@
   void go_through(const std::set<JobId>& jobs);
   void pump();
   void rounds();
+  // Sees to it that grants without an answer are either applied already or never will be.
+  void void_unanswered();
+  void on_voided(bool read);
   void write_ends();
   void tidy();
   void rent();
@@ -52,6 +55,14 @@
   Term term_;
   std::unique_ptr<lead::Lead> lead_;
   std::unique_ptr<lead::Capacity> capacity_;
+  // Grants whose transaction had no answer: the next round waits until they can't be applied any more.
+  struct Unanswered {
+    std::vector<lead::Lead::Grant> grants;
+    Revision role_version;  // the version of the leader's role that their transaction rests on
+    Instant retry_at{};
+    bool busy = false;
+  };
+  std::optional<Unanswered> unanswered_;
   std::set<JobId> ending_, tidying_;
   Instant ends_again_{};
   std::map<PartId, wire::Summary> summaries_;  // also while another leads
