View: late answers and older reads don't bring a dropped key back

Cause: the view keeps no version of a key that doesn't exist. The answer to a node's own transaction, coming after reads that had seen the key dropped, put it back for good: the leader's tidying then failed on it for ever. While the content was loaded anew, a change of one's own showed the owners jobs whose grants were in the view and what was returned of them not yet; and the view's revision ran ahead of the view, which let the peers' word of cancellations pass for complete. Change: own changes that reads went beyond, or that come while loading, aren't applied; a read's changes are compared with the node's own drops; the revision counts only once a read is complete.

--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -60,11 +60,11 @@
                  if (r.outcome == Outcome::kOk) {
                    try {
                      auto page = wire::parse_page(r.body);
-                     if (first) me->revision_ = page.revision;
+                     if (first) me->load_from_ = page.revision;
                      std::string last;
                      for (auto& item : page.items) {
                        last = item.key;
-                       me->view_.apply({std::move(item.key), std::move(item.value), item.version});
+                       me->apply_read({std::move(item.key), std::move(item.value), item.version});
                      }
                      if (page.more && !last.empty()) return me->load(std::move(last));
                      me->loaded_ = true;
@@ -83,7 +83,7 @@
 void Mirror::read() {
   auto begun = begun_ = clock_.now();
   std::swap(served_, waiting_);
-  client_->get(wire::watch_target(kPrefix, revision_, 0), Urgency::kUser,
+  client_->get(wire::watch_target(kPrefix, ready_ ? revision_ : load_from_, 0), Urgency::kUser,
                [weak = weak_from_this(), begun](ReadResult r) {
                  auto me = weak.lock();
                  if (!me || me->stopped_) return;
@@ -91,8 +91,9 @@
                  if (r.outcome == Outcome::kOk) {
                    try {
                      auto changes = wire::parse_changes(r.body);
-                     for (const auto& c : changes.changes) me->view_.apply(c);
+                     for (const auto& c : changes.changes) me->apply_read(c);
                      me->revision_ = std::max(me->revision_, changes.revision);
+                     std::erase_if(me->own_drops_, [&](const auto& d) { return d.second <= me->revision_; });
                      me->word_ = begun;
                      me->ready_ = ok = true;
                    } catch (const wire::WireError& e) {
@@ -145,8 +146,23 @@
   read_soon();
 }
 
+// A read that began before this node dropped a key may bring an older value of it, and the view keeps no
+// version of a key that doesn't exist.
+void Mirror::apply_read(const wire::Change& c) {
+  auto dropped = own_drops_.find(c.key);
+  if (dropped == own_drops_.end() || c.version > dropped->second) view_.apply(c);
+}
+
+// The answer to a transaction may come after reads that went beyond it. What it wrote may have been dropped
+// since, and would be back in the view for good: no later read tells of it again. While the content is
+// loaded, what was written comes with the pages or with the read after them; and nobody is to be told of jobs
+// whose grants are in the view while what was returned of them isn't yet.
 void Mirror::apply_own(const wire::Txn& t, Revision r) {
-  for (const auto& w : t.writes) view_.apply({w.key, w.value, r});
+  if (!ready_ || r <= revision_) return;
+  for (const auto& w : t.writes) {
+    view_.apply({w.key, w.value, r});
+    if (!w.value) own_drops_[w.key] = r;
+  }
   settle();
 }
 
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -4,7 +4,9 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "store/client.h"
@@ -22,6 +24,7 @@
 
   const View& view() const { return view_; }
   bool ready() const { return ready_; }
+  // The view holds all changes up to this one, and more while the content is loaded anew.
   Revision revision() const { return revision_; }
   // The view holds all changes that were made before this time.
   Instant word() const { return word_; }
@@ -37,6 +40,7 @@
  private:
   void load(std::string after);
   void read();
+  void apply_read(const wire::Change& c);
   void finish(bool ok);
   void settle();
   void schedule(Duration d);
@@ -51,6 +55,8 @@
   View view_;
   asio::steady_timer timer_;
   Revision revision_;
+  Revision load_from_;                         // as of the first page of the last load
+  std::map<std::string, Revision> own_drops_;  // keys that this node dropped and no read has gone beyond
   Revision nudged_;
   Instant word_{};
   std::vector<std::function<void(bool)>> waiting_, served_;
