A node whose key in alive/ has gone while its hold stands writes it again

Cause: the write by an earlier process of the node, carried out late, ties the key to that process's hold, and goes with it. The node was never alive again for the others, and could take no role until it was restarted.

--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -60,7 +60,11 @@
       hold_.reset();
       return beat();
     }
-    if (r.outcome == store::Outcome::kOk && !alive_written_) write_alive();
+    if (r.outcome != store::Outcome::kOk) return;
+    // The key may have gone although the hold stands: an earlier process of this node wrote it, its
+    // transaction was carried out late and tied the key to that process's hold, which has run out since.
+    bool gone = ctx_.mirror->ready() && !ctx_.view().alive(ctx_.settings.node);
+    if (!alive_written_ || gone) write_alive();
   });
 }
 
