A late copy of a report doesn't stop the task that runs

Cause: a copy of an earlier report, by a machine that the task has left since, reaches a new owner first. The machine that runs the task then passed for the second one, and the task was stopped. Change: a machine that obeys this owner stands against one that was only heard of under an earlier term.

--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -75,6 +75,7 @@
   Sequence sequence;
   Token seen;             // highest token that the worker is known to have seen
   bool reported = false;  // under this owner's term: no earlier owner is obeyed any more
+  Instant met{};          // when this owner first knew of it
   Instant heard{};        // last report, or when the owner began to wait for one
   Instant answered{};  // last answer to a report; whether the worker got it is another matter, see `doubted`
   Instant heard_directly{};              // last report that was not relayed by another controller
--- a/src/part/part_reports.cpp
+++ b/src/part/part_reports.cpp
@@ -37,7 +37,7 @@
       m.type = r.type;
       m.zone = r.zone;
       m.spot = r.spot;
-      m.heard = now;
+      m.met = m.heard = now;
       m.idle_since = now;
       m.token = Token::first_of(term_);
       m.quiet = params_.report_period * 3;
@@ -76,7 +76,7 @@
   auto& m = it->second;
   if (fresh) {
     m.name = r.machine;
-    m.idle_since = now;
+    m.met = m.idle_since = now;
     m.token = Token::first_of(term_);
     m.quiet = params_.report_period * 3;
   }
@@ -236,12 +236,21 @@
     slot->started = true;
     slot->machine = m.name;
     slot->attempt = key.second;
-  } else if (slot->status == Slot::Status::kPlaced &&
-             (slot->machine != m.name || slot->attempt != key.second) && !t.stop_grace) {
+    return;
+  }
+  bool elsewhere = slot->machine != m.name || slot->attempt != key.second;
+  if (slot->status != Slot::Status::kPlaced || !elsewhere || t.stop_grace) return;
+  // A report under an earlier term may be a late copy, by a machine that the task has left since. If it
+  // reaches a new owner first, the task that runs elsewhere must not be stopped for it.
+  if (!m.reported) return;
+  auto other = machines_.find(slot->machine);
+  if (other != machines_.end() && other->second.reported) {
     spdlog::error("{}: task {} is here as well as on {}", m.name.value(), wire::task_name(key.first),
                   slot->machine.value());
-    stop(m, t, 0);
+    return stop(m, t, 0);
   }
+  slot->machine = m.name;
+  slot->attempt = key.second;
 }
 
 void Part::on_ended(Machine& m, const TaskKey& key, TaskOn& t, Instant now) {
