A machine that never hears its new owner doesn't hold up the rebuilding

Cause: doubt that a machine hears was raised only once it had obeyed this owner. One whose reports arrive while answers and commands are lost was neither silent nor in doubt after a change of owner: the part waited for it without end, and so did every task that was lost in the change. Change: until a machine has reported under this owner's term it's in doubt, from when the owner first knew of it; it's deleted after the grace like others that don't hear, unless most of its zone is so.

--- a/src/part/part.h
+++ b/src/part/part.h
@@ -202,7 +202,8 @@
   }
   Machine& machine(const wire::Report& r, Instant now);
   void set_type(Machine& m);
-  // Neither word from it nor, if it's in doubt that it hears, a sign of that for so long.
+  // Neither word from it nor, if it's in doubt that it hears, a sign of that for so long. One that has not
+  // yet reported under this owner's term is in doubt.
   bool out_of_touch(const Machine& m, Duration patience, Instant now) const;
   std::set<Zone> cut_off_zones(Instant now) const;
   PartJob* find_job(const JobId& id);
--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -122,7 +122,10 @@
 // ---------------------------------------------------------------- machines that go
 
 bool Part::out_of_touch(const Machine& m, Duration patience, Instant now) const {
-  return now - m.heard > patience || (m.doubted && now - *m.doubted > patience);
+  // One that has yet to show this owner's token is in doubt from the start: it may report and hear nothing,
+  // and the rebuilding would wait for it without end.
+  auto doubted = m.reported ? m.doubted : std::optional(m.met);
+  return now - m.heard > patience || (doubted && now - *doubted > patience);
 }
 
 bool Part::settled(Instant now) const {
