A submission's late answer tells how the job has ended meanwhile

Cause: the answer to the write of a job may come after other nodes have read it, run it and told its user that it's done or cancelled; the user was then told that it's queued.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -118,8 +118,10 @@
         mirror_->apply_own(t, result.revision);
         spdlog::debug("{} accepted ({})", id.value(),
                       mirror_->view().job(id) ? mirror_->view().job(id)->record.spec->job_class : "");
-        reply({201, wire::render_accepted(id, wire::JobState::kQueued)});
-        return hooks_.changed(result.revision);
+        hooks_.changed(result.revision);
+        // Another node may have ended it, and told so, before this answer came.
+        if (mirror_->view().end(id)) return answer_known(true);
+        return reply({201, wire::render_accepted(id, wire::JobState::kQueued)});
       case store::Outcome::kConflict:
       case store::Outcome::kUnknown:
         // Known already, or no answer: the truth is what is stored.
