--- a/tests/standins.h
+++ b/tests/standins.h
@@ -44,7 +44,12 @@
           io, any_port(), net::ServerLimits{}, [](const Request&) { return false; },
           [this, i](Request r, HttpServer::Reply reply) {
             if (down || shut[i]) return reply({503, "{}"});
-            reply(handle(r));
+            auto met = trouble ? trouble(r) : Trouble::kNone;
+            if (met == Trouble::kLate) return late_.emplace_back(std::move(r), std::move(reply)), void();
+            auto answer = handle(r);
+            if (met == Trouble::kAnswerKept)
+              return kept_.emplace_back(std::move(answer), std::move(reply)), void();
+            reply(std::move(answer));
           });
       doors[i]->start();
     }
@@ -53,6 +58,35 @@
   std::array<bool, 2> shut{};  // for the node that comes by this door
   std::array<std::shared_ptr<HttpServer>, 2> doors;
   std::map<std::string, std::pair<Json, std::uint64_t>> keys;
+  // What befalls a request: carried out only by `carry_out_late` and never answered, or carried out at once
+  // and answered by `answer_kept`.
+  enum class Trouble { kNone, kLate, kAnswerKept };
+  std::function<Trouble(const Request&)> trouble;
+  std::size_t late() const { return late_.size(); }
+  std::size_t kept() const { return kept_.size(); }
+  // The statuses that they would have been answered with.
+  std::vector<int> carry_out_late() {
+    std::vector<int> statuses;
+    for (auto& [request, reply] : late_) statuses.push_back(handle(request).status);
+    late_.clear();
+    return statuses;
+  }
+  void answer_kept() {
+    auto kept = std::move(kept_);
+    kept_.clear();
+    for (auto& [answer, reply] : kept) reply(std::move(answer));
+  }
+  // A change by somebody else.
+  void set(const std::string& key, Json value) {
+    keys[key] = {value, ++revision_};
+    attached_.erase(key);
+    log_.push_back({{"set", key}, {"v", std::move(value)}, {"entry", revision_}});
+  }
+  void remove(const std::string& key) {
+    drop(key);
+    attached_.erase(key);
+  }
+  std::uint64_t revision() const { return revision_; }
   // Ends a node's hold, as when it isn't renewed in time.
   void expire(std::uint64_t hold) {
     for (auto it = attached_.begin(); it != attached_.end();)
@@ -127,6 +161,8 @@
   }
 
   asio::io_context& io_;
+  std::vector<std::pair<Request, HttpServer::Reply>> late_;
+  std::vector<std::pair<Response, HttpServer::Reply>> kept_;
   std::vector<Json> log_;
   std::set<std::uint64_t> holds_;
   std::map<std::string, std::uint64_t> attached_;
