--- a/src/part/part_reports.cpp
+++ b/src/part/part_reports.cpp
@@ -37,7 +37,7 @@
       m.type = r.type;
       m.zone = r.zone;
       m.spot = r.spot;
-      m.heard = now;
+      m.met = m.heard = now;
       m.idle_since = now;
       m.token = Token::first_of(term_);
       m.quiet = params_.report_period * 3;
@@ -76,7 +76,7 @@
   auto& m = it->second;
   if (fresh) {
     m.name = r.machine;
-    m.idle_since = now;
+    m.met = m.idle_since = now;
     m.token = Token::first_of(term_);
     m.quiet = params_.report_period * 3;
   }
