--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -189,28 +189,28 @@
     t.writes.push_back({store::grants_key(g.job), store::to_json(g.grants), std::nullopt});
   }
   auto urgency = services ? store::Urgency::kUser : store::Urgency::kWork;
-  ctx_.store->txn(t, urgency,
-                  [this, t, term = term_, role = leader->version, grants = *grants](store::TxnResult r) {
-                    if (!lead_ || term != term_) return;
-                    if (r.outcome == store::Outcome::kOk) {
-                      for (const auto& g : grants)
-                        for (const auto& c : g.grants.chunks)
-                          spdlog::debug("{}: granted {} tasks to part {}{}", g.job.value(), c.tasks.count(),
-                                        c.part.value(), c.preempt ? ", by force" : "");
-                      lead_->on_granted(grants, r.revision, ctx_.now());
-                      ctx_.mirror->apply_own(t, r.revision);
-                      peers_.broadcast(wire::Nudge{r.revision});
-                      return kick();
-                    }
-                    if (r.outcome == store::Outcome::kUnknown) {
-                      unanswered_ = Unanswered{grants, role, {}, false};
-                      return void_unanswered();
-                    }
-                    // Refused: something else was applied. Look before the next round.
-                    ctx_.mirror->sync([this, term, grants](bool) {
-                      if (lead_ && term == term_) lead_->on_granted(grants, std::nullopt, ctx_.now());
-                    });
-                  });
+  ctx_.mirror->commit(t, urgency,
+                      [this, t, term = term_, role = leader->version, grants = *grants](store::TxnResult r) {
+                        if (!lead_ || term != term_) return;
+                        if (r.outcome == store::Outcome::kOk) {
+                          for (const auto& g : grants)
+                            for (const auto& c : g.grants.chunks)
+                              spdlog::debug("{}: granted {} tasks to part {}{}", g.job.value(),
+                                            c.tasks.count(), c.part.value(), c.preempt ? ", by force" : "");
+                          lead_->on_granted(grants, r.revision, ctx_.now());
+                          ctx_.mirror->apply_own(t, r.revision);
+                          peers_.broadcast(wire::Nudge{r.revision});
+                          return kick();
+                        }
+                        if (r.outcome == store::Outcome::kUnknown) {
+                          unanswered_ = Unanswered{grants, role, {}, false};
+                          return void_unanswered();
+                        }
+                        // Refused: something else was applied. Look before the next round.
+                        ctx_.mirror->sync([this, term, grants](bool) {
+                          if (lead_ && term == term_) lead_->on_granted(grants, std::nullopt, ctx_.now());
+                        });
+                      });
 }
 
 // A transaction without an answer may be carried out seconds later. The next round would meanwhile give the
@@ -267,7 +267,7 @@
   if (ids.empty()) return;
   t.conditions.push_back(*leader);
   ending_.insert(ids.begin(), ids.end());
-  ctx_.store->txn(t, store::Urgency::kUser, [this, t, ids](store::TxnResult r) {
+  ctx_.mirror->commit(t, store::Urgency::kUser, [this, t, ids](store::TxnResult r) {
     auto over = [this, ids] {
       for (const auto& id : ids) ending_.erase(id);
     };
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -44,9 +44,12 @@
           io, any_port(), net::ServerLimits{}, [](const Request&) { return false; },
           [this, i](Request r, HttpServer::Reply reply) {
             if (down || shut[i]) return reply({503, "{}"});
+            if (silent) return unanswered.push_back(reply);
             auto met = trouble ? trouble(r) : Trouble::kNone;
             if (met == Trouble::kLate) return late_.emplace_back(std::move(r), std::move(reply)), void();
+            ++requests[r.path];
             auto answer = handle(r);
+            if (r.path == "/txn" && txn_answers_lost) return unanswered.push_back(reply);
             if (met == Trouble::kAnswerKept)
               return kept_.emplace_back(std::move(answer), std::move(reply)), void();
             reply(std::move(answer));
@@ -54,8 +57,12 @@
       doors[i]->start();
     }
   }
-  bool down = false;           // for all
-  std::array<bool, 2> shut{};  // for the node that comes by this door
+  bool down = false;              // for all
+  std::array<bool, 2> shut{};     // for the node that comes by this door
+  bool silent = false;            // takes requests, and neither carries them out nor answers
+  bool txn_answers_lost = false;  // transactions are carried out
+  std::vector<HttpServer::Reply> unanswered;
+  std::map<std::string, int> requests;  // carried out, by path
   std::array<std::shared_ptr<HttpServer>, 2> doors;
   std::map<std::string, std::pair<Json, std::uint64_t>> keys;
   // What befalls a request: carried out only by `carry_out_late` and never answered, or carried out at once
