Machines that hang: probed when late, given up after 8.7 s instead of 12 s of silence

Cause: a machine that hangs was known only by its silence for `grace` (12 s where workers report every 3 s). Change: a machine whose report is late (1.6 report periods) is probed by an empty batch. Silent for the worker's own 4 s of patience beyond that, with two commands or probes unanswered for as long, it is given up, if commands to another machine of its zone were answered meanwhile (one is probed for that) and no more than a quarter of the zone is silent. A machine that answers probes but does not report is kept for its lease, and gets no new tasks after half of it. A machine that goes on while its deletion is under way is told to stop what was cancelled in the answer to its report. One drop_if for the three loops that dropped a machine's tasks; on_some_machine walks the index by each_listed.

--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -17,6 +17,8 @@
 namespace beaconsill::part {
 
 constexpr std::size_t kMaxCommands = 128;  // in one message to a worker
+// A worker waits 4 s for an answer to its report (the protocol). The same patience is had with a worker.
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(3900);
 
 // A machine may still report an ended attempt of a task while it runs the next one.
 using TaskKey = std::pair<TaskId, Attempt>;
@@ -75,7 +77,8 @@
   Sequence sequence;
   Token seen;             // highest token that the worker is known to have seen
   bool reported = false;  // under this owner's term: no earlier owner is obeyed any more
-  Instant heard{};        // last report, or when the owner began to wait for one
+  Instant heard{};  // last report, also as an answer to commands, or when the owner began to wait for one
+  Instant last_report{};  // last one of its own accord: only these renew its lease
   Instant answered{};  // last answer to a report; whether the worker got it is another matter, see `doubted`
   Instant heard_directly{};              // last report that was not relayed by another controller
   std::optional<Instant> relayed_since;  // since when it has come by way of others only
@@ -97,6 +100,25 @@
   // token.
   std::optional<Instant> doubted;
 
+  // Commands and probes without an answer since the machine was last heard: when the first was sent, and how
+  // many have been waited for in vain.
+  std::optional<Instant> unanswered_since;
+  std::size_t unanswered = 0;
+  std::optional<Instant> probed;  // when the last empty batch was sent
+  void on_sent(Instant now) {
+    if (!unanswered_since) unanswered_since = now;
+  }
+  void forget_unanswered() {
+    unanswered_since.reset();
+    unanswered = 0;
+  }
+  // No batch, probe or deletion is under way that would tell as much.
+  bool can_be_probed() const {
+    return reported && !deleting && !address.empty() && channel == Channel::kIdle && !retry_at &&
+           !probe_under_way;
+  }
+  bool probe_under_way = false;
+
   bool touched = false;  // there may be something to send, see Part::touch
 
   bool registered = false;  // in the state service, so that a successor waits for it
@@ -121,9 +143,11 @@
   void changed() { load_.reset(); }
   bool usable(Instant now) const {
     return reported && registered && type_known && !closed && !sick && !deleting && !taken_at &&
-           now - heard < quiet && channel != Channel::kFencing;
+           now - heard < quiet && now - last_report < mute && unanswered == 0 && channel != Channel::kFencing;
   }
-  Duration quiet = std::chrono::seconds(4);  // without a report for this long it gets no new tasks
+  Duration quiet = std::chrono::seconds(4);  // without a sign of life for this long it gets no new tasks
+  // The same without a report of its own accord: what is started then would end with the lease.
+  Duration mute = std::chrono::seconds(5);
 
  private:
   struct Load {
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -209,6 +209,7 @@
     check_leases(now, read);
     check_notices(now);
     check_gangs(now);
+    probe_late(now);
     for (auto& [name, m] : machines_)
       if (m.retry_at && now >= *m.retry_at) touch(m);
   }
@@ -218,10 +219,6 @@
   give_back(now);
 }
 
-// Rule 4 of docs/design.md: the lease has run out since the last time that anybody entitled can have
-// answered. The worker has seen our term, so no earlier owner is obeyed; `read` shows that no successor
-// existed. Peers' word doesn't: one that has ended since may have been it.
-
 // ---------------------------------------------------------------- questions
 
 wire::ShapeRoom Part::estimate(const wire::Shape& s, Instant now) const {
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -95,7 +95,7 @@
 
   // ---- Machines
   // The node has not run for a while, and so heard nobody: silence counts from here.
-  void on_stood_still(Instant now) { listening_since_ = now; }
+  void on_stood_still(Instant now);
   // To be deleted now, since they went quiet, are sick, closed and empty. Followed by on_deleted or
   // on_delete_failed.
   std::vector<MachineName> take_deletions(Instant now);
@@ -153,9 +153,15 @@
   // All changes of a machine's tasks go through these two, which keep `where_`.
   std::pair<TaskOn&, bool> put(Machine& m, const TaskKey& key);  // whether it's new
   std::map<TaskKey, TaskOn>::iterator drop(Machine& m, std::map<TaskKey, TaskOn>::iterator t);
-  // Calls `f(machine, key, task)` for all that machines list of the job.
+  // Drops the tasks of the machine for which `gone(key, task)` holds, and requeues them.
+  template <class F>
+  void drop_if(Machine& m, F gone, Instant now);
+  using Listed = std::map<TaskId, std::vector<Machine*>>;
+  // Calls `f(machine, key, task)` for all that machines list of the job, or of one task.
   template <class F>
   void each_listed(const JobId& id, F f) const;
+  template <class F>
+  void each_listed(const Listed::value_type& task, F f) const;
   // There may be something to send to the machine.
   void touch(Machine& m);
   void wait(const JobId& id) { waiting_.insert(id); }
@@ -202,9 +208,19 @@
   }
   Machine& machine(const wire::Report& r, Instant now);
   void set_type(Machine& m);
-  // Neither word from it nor, if it's in doubt that it hears, a sign of that for so long.
+  void set_patience(Machine& m) const;
+  // Neither a report from it nor, if it's in doubt that it hears, a sign of that for so long.
   bool out_of_touch(const Machine& m, Duration patience, Instant now) const;
   std::set<Zone> cut_off_zones(Instant now) const;
+  Instant in_reach_since(const Zone& zone) const;
+  // Silence after which a report is late.
+  Duration late_after() const;
+  void probe_late(Instant now);
+  void probe(Machine& m, Instant now);
+  // When a machine of the zone last answered commands or a probe.
+  Instant commands_answered(const Zone& zone) const;
+  bool hangs(const Machine& m, Instant now) const;
+  const char* reason_to_delete(const Machine& m, bool cut_off, Instant now) const;
   PartJob* find_job(const JobId& id);
   Slot* find_slot(const TaskId& id);
   bool durable(const TaskId& id) const;
@@ -219,7 +235,7 @@
   std::set<JobId> waiting_;  // jobs of which some task may be waiting
   // The machines that list a task, one entry for each attempt: what is asked about a task or a job is
   // answered without going through all machines.
-  std::map<TaskId, std::vector<Machine*>> where_;
+  Listed where_;
   std::vector<Machine*> touched_;
   std::uint64_t reports_ = 0;
   mutable std::uint64_t effort_ = 0;
@@ -232,21 +248,42 @@
   bool registry_dirty_ = true;  // what is registered may differ from what should be
   Instant looked_{}, strays_checked_{};
   Instant listening_since_{};
+  std::map<Zone, Instant> commands_answered_;
   std::map<Zone, Instant> cut_off_;  // when the zone was last taken to be cut off
 };
 
 template <class F>
 void Part::each_listed(const JobId& id, F f) const {
   for (auto w = where_.lower_bound(TaskId{id, 0}); w != where_.end() && w->first.job == id; ++w)
-    for (std::size_t i = 0; i < w->second.size(); ++i) {
-      // A machine that lists several attempts stands there as often.
-      auto* m = w->second[i];
-      if (std::find(w->second.begin(), w->second.begin() + static_cast<std::ptrdiff_t>(i), m) !=
-          w->second.begin() + static_cast<std::ptrdiff_t>(i))
-        continue;
-      auto t = m->tasks.lower_bound({w->first, Attempt()});
-      for (; t != m->tasks.end() && t->first.first == w->first; ++t, ++effort_) f(*m, t->first, t->second);
+    each_listed(*w, f);
+}
+
+template <class F>
+void Part::each_listed(const Listed::value_type& task, F f) const {
+  const auto& [id, machines] = task;
+  for (auto at = machines.begin(); at != machines.end(); ++at) {
+    auto* m = *at;
+    // A machine that lists several attempts stands there as often.
+    if (std::find(machines.begin(), at, m) != at) continue;
+    auto t = m->tasks.lower_bound({id, Attempt()});
+    for (; t != m->tasks.end() && t->first.first == id; ++t, ++effort_) f(*m, t->first, t->second);
+  }
+}
+
+template <class F>
+void Part::drop_if(Machine& m, F gone, Instant now) {
+  bool dropped = false;
+  for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+    if (!gone(it->first, it->second)) {
+      ++it;
+      continue;
     }
+    auto key = it->first;
+    it = drop(m, it);
+    requeue(key, now);
+    dropped = true;
+  }
+  if (dropped) m.changed();
 }
 
 }  // namespace beaconsill::part
--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -37,6 +37,9 @@
     // Otherwise a worker that an owner cut off from all but its workers still answers would not come here.
     if (m.retry_at && now >= *m.retry_at) {
       m.retry_at.reset();
+      m.probed = now;
+      m.probe_under_way = true;
+      m.on_sent(now);
       touch(m);  // the channel may be idle
       out.push_back({name, m.address, std::max(m.session, Session(1)), m.token, {}});
       continue;
@@ -59,22 +62,20 @@
         b.commands.push_back({wire::Command::Op::kForget, key.first, key.second, 0});
       }
     }
-    for (auto it = m.tasks.begin(); it != m.tasks.end();) {
-      auto* job = it->second.start == TaskOn::Start::kQueued ? find_job(it->first.first.job) : nullptr;
-      if (it->second.start != TaskOn::Start::kQueued || (job && !job->end)) {
-        ++it;
-        continue;
-      }
-      auto key = it->first;
-      it = drop(m, it);
-      requeue(key, now);
-      m.changed();
-    }
+    drop_if(
+        m,
+        [&](const TaskKey& key, const TaskOn& t) {
+          if (t.start != TaskOn::Start::kQueued) return false;
+          auto* job = find_job(key.first.job);
+          return !job || job->end.has_value();
+        },
+        now);
     if (b.commands.empty()) continue;
     // A token of its own for every batch: a copy of it that arrives late is refused.
     m.token = m.token.raised();
     b.token = m.token;
     m.channel = Machine::Channel::kBusy;
+    m.on_sent(now);
     out.push_back(std::move(b));
   }
   return out;
@@ -86,7 +87,14 @@
   if (it == machines_.end()) return;
   auto& m = it->second;
   touch(m);
+  if (result == CommandResult::kNoAnswer) {
+    ++m.unanswered;
+  } else {
+    m.forget_unanswered();
+    commands_answered_[m.zone] = now;
+  }
   if (b.commands.empty()) {
+    m.probe_under_way = false;
     if (report && report->machine == b.machine) take_report(*report, true, now);
     if (m.reported && m.channel != Machine::Channel::kFencing) return;
     // A session that was guessed wrong is known now.
@@ -121,32 +129,6 @@
 
 // ---------------------------------------------------------------- machines that go
 
-bool Part::out_of_touch(const Machine& m, Duration patience, Instant now) const {
-  return now - m.heard > patience || (m.doubted && now - *m.doubted > patience);
-}
-
-bool Part::settled(Instant now) const {
-  return rebuilt_ && std::none_of(machines_.begin(), machines_.end(),
-                                  [&](const auto& m) { return out_of_touch(m.second, m.second.quiet, now); });
-}
-
-// More machines of a zone out of touch than single failures explain: rather this node is cut off from it. So
-// it is when their reports come by way of other controllers only, while commands don't get through: found on
-// a day when an owner that had lost its workers deleted some sixty sound ones, one after the other.
-std::set<Zone> Part::cut_off_zones(Instant now) const {
-  std::map<Zone, std::pair<std::size_t, std::size_t>> count;  // out of touch, all
-  for (const auto& [name, m] : machines_) {
-    auto& [out, all] = count[m.zone];
-    ++all;
-    bool relayed_only = m.relayed_since && now - *m.relayed_since > m.quiet;
-    if (out_of_touch(m, m.quiet, now) || relayed_only) ++out;
-  }
-  std::set<Zone> zones;
-  for (const auto& [zone, n] : count)
-    if (n.first >= 3 && n.first * 2 > n.second) zones.insert(zone);
-  return zones;
-}
-
 std::vector<MachineName> Part::take_deletions(Instant now) {
   std::vector<MachineName> out;
   if (superseded_) return out;
@@ -157,24 +139,8 @@
     // is being deleted gets no commands, not even for jobs that are cancelled.
     if (out.size() >= wire::kMaxDelete) break;
     if (m.deleting || (m.delete_retry && now < *m.delete_retry)) continue;
-    auto patience = m.reported ? params_.grace : params_.grace + kTakeoverPatience;
-    if (cut_off.contains(m.zone)) {
-      // What ran on those that have obeyed this owner ends with their leases, and they may come back. The
-      // others hold up the rebuilding, though not without end: an earlier owner that is cut off with them
-      // keeps their tasks running until its word of cancellations is too old.
-      if (m.reported) continue;
-      patience = std::max(patience, params_.cancel_limit);
-    }
-    // Of a zone that comes back, or when this node has stood still, half of the machines report before the
-    // others do, and those would pass for silent.
-    auto since = std::max(listening_since_, cut_off.contains(m.zone) ? Instant{} : cut_off_[m.zone]);
-    bool quiet = out_of_touch(m, patience, now) && now - since > patience;
-    bool empty = m.tasks.empty() && m.channel == Machine::Channel::kIdle;
-    if (!quiet && !((m.sick || m.closed) && empty)) continue;
-    const char* why = now - m.heard > patience ? "silent"
-                      : quiet                  ? "does not hear"
-                      : m.sick                 ? "sick"
-                                               : "not needed";
+    const char* why = reason_to_delete(m, cut_off.contains(m.zone), now);
+    if (!why) continue;
     spdlog::info("{}: to be deleted ({})", name.value(), why);
     m.deleting = true;
     out.push_back(name);
@@ -182,6 +148,32 @@
   return out;
 }
 
+// None: it's kept.
+const char* Part::reason_to_delete(const Machine& m, bool cut_off, Instant now) const {
+  bool empty = m.tasks.empty() && m.channel == Machine::Channel::kIdle;
+  if (m.sick && empty) return "sick";
+  if (m.closed && empty) return "not needed";
+  auto patience = m.reported ? params_.grace : params_.grace + kTakeoverPatience;
+  if (cut_off) {
+    // What ran on those that have obeyed this owner ends with their leases, and they may come back. The
+    // others hold up the rebuilding, though not without end: an earlier owner that is cut off with them
+    // keeps their tasks running until its word of cancellations is too old.
+    if (m.reported) return nullptr;
+    patience = std::max(patience, params_.cancel_limit);
+  }
+  if (hangs(m, now)) return "answers neither commands nor probes";
+  // Of a zone that comes back, or when this node has stood still, half of the machines report before the
+  // others do, and those would pass for silent.
+  auto since = cut_off ? listening_since_ : in_reach_since(m.zone);
+  auto beyond = [&](Instant last, Duration limit) { return now - std::max(last, since) > limit; };
+  if (m.doubted && beyond(*m.doubted, patience)) return "does not hear";
+  if (beyond(m.heard, patience)) return "silent";
+  // One that answers probes is alive. What runs there goes on until its lease ends, which answers to commands
+  // don't renew; after that it's of no use unless it reports.
+  if (beyond(m.last_report, std::max(patience, params_.lease))) return "answers, but does not report";
+  return nullptr;
+}
+
 void Part::on_deleted(const MachineName& name, Instant now) {
   gone_.insert(name);
   auto it = machines_.find(name);
--- a/src/part/part_placement.cpp
+++ b/src/part/part_placement.cpp
@@ -167,12 +167,10 @@
 
 bool Part::on_some_machine(const TaskId& id) const {
   auto w = where_.find(id);
-  return w != where_.end() && std::any_of(w->second.begin(), w->second.end(), [&](const auto* m) {
-           auto t = m->tasks.lower_bound({id, Attempt()});
-           for (; t != m->tasks.end() && t->first.first == id; ++t)
-             if (live(t->second)) return true;
-           return false;
-         });
+  if (w == where_.end()) return false;
+  bool found = false;
+  each_listed(*w, [&](Machine&, const TaskKey&, const TaskOn& t) { found = found || live(t); });
+  return found;
 }
 
 void Part::start(Machine& m, const TaskId& id, const PartJob& job, Slot& slot, Instant now) {
--- a/src/part/part_reports.cpp
+++ b/src/part/part_reports.cpp
@@ -11,10 +11,6 @@
 using wire::EndCause;
 using wire::TaskState;
 
-// A worker waits 4 s for an answer to its report: after a longer pause it has most likely waited in vain. Not
-// so if a pause like that lies within what reports vary by.
-constexpr Duration kAnswerPatience = std::chrono::milliseconds(3900);
-constexpr double kReportsVary = 1.6;
 constexpr Duration kErrorMemory = std::chrono::seconds(60);
 constexpr double kMaxBackoff = 30;
 constexpr std::size_t kSickJobs = 2;     // so many jobs fail on a machine: it is the machine
@@ -37,10 +33,10 @@
       m.type = r.type;
       m.zone = r.zone;
       m.spot = r.spot;
-      m.heard = now;
+      m.heard = m.last_report = now;
       m.idle_since = now;
       m.token = Token::first_of(term_);
-      m.quiet = params_.report_period * 3;
+      set_patience(m);
       m.address = r.address;
       m.sick = r.sick;
       m.retry_at = now;
@@ -76,9 +72,9 @@
   auto& m = it->second;
   if (fresh) {
     m.name = r.machine;
-    m.idle_since = now;
+    m.last_report = m.idle_since = now;
     m.token = Token::first_of(term_);
-    m.quiet = params_.report_period * 3;
+    set_patience(m);
   }
   if (m.type != r.type || !m.type_known) {
     m.type = r.type;
@@ -94,7 +90,9 @@
   auto& m = machines_.at(name);
   m.answered = now;
   ReportAnswer a{m.token, {}};
-  if (m.channel != Machine::Channel::kFencing) return a;
+  // One that is being deleted may have gone on after all: until the deletion is answered, what was cancelled
+  // there is told to stop this way, since it gets no other commands.
+  if (m.channel != Machine::Channel::kFencing && !m.deleting) return a;
   for (const auto& [key, t] : m.tasks)
     if (live(t) && t.stop_grace && a.commands.size() < kMaxCommands)
       a.commands.push_back({wire::Command::Op::kStop, key.first, key.second, *t.stop_grace});
@@ -155,12 +153,15 @@
       spdlog::info("{}: its lease ran out, {} tasks are lost", m.name.value(), m.tasks.size());
     lose_all(m, now);
   }
-  auto patience =
-      std::max(kAnswerPatience, std::chrono::duration_cast<Duration>(params_.report_period * kReportsVary));
+  // After a pause as long as a worker waits for an answer it has most likely waited in vain. Not so if a
+  // pause like that lies within what reports vary by.
+  auto patience = std::max(kAnswerPatience, late_after());
   bool waited = m.answered >= m.heard && now - m.heard >= patience;
   m.session = r.session;
   m.sequence = r.sequence;
   m.heard = now;
+  if (!hears) m.last_report = now;
+  m.forget_unanswered();
   m.token = std::max(m.token, r.token);
   // It reports, but its lease ran out, or it made a pause as one does that waits for an answer.
   if (m.reported && !hears && (lost || waited)) doubt(m, now);
@@ -191,16 +192,13 @@
     t.listed = reports_;
     update(m, key, t, x, now);
   }
-  for (auto it = m.tasks.begin(); it != m.tasks.end();) {
-    // A start that isn't settled may still be carried out: its absence from a report proves nothing.
-    if (it->second.start != TaskOn::Start::kSettled || it->second.listed == reports_) {
-      ++it;
-      continue;
-    }
-    auto key = it->first;
-    it = drop(m, it);
-    requeue(key, now);
-  }
+  // A start that isn't settled may still be carried out: its absence from a report proves nothing.
+  drop_if(
+      m,
+      [&](const TaskKey&, const TaskOn& t) {
+        return t.start == TaskOn::Start::kSettled && t.listed != reports_;
+      },
+      now);
   m.changed();
   if (m.live_tasks() > 0) m.idle_since = now;
   check_rebuilt(now);
@@ -266,13 +264,11 @@
 }
 
 void Part::lose_all(Machine& m, Instant now) {
-  std::vector<TaskKey> keys;
-  for (auto it = m.tasks.begin(); it != m.tasks.end(); it = drop(m, it)) keys.push_back(it->first);
-  m.changed();
+  drop_if(
+      m, [](const TaskKey&, const TaskOn&) { return true; }, now);
   m.channel = Machine::Channel::kIdle;
   m.retry_at.reset();
   m.idle_since = now;
-  for (const auto& key : keys) requeue(key, now);
 }
 
 // Evidence decides whom to blame: a machine on which many jobs fail is sick, a job that fails on many
--- /dev/null
+++ b/tests/contact_test.cpp
@@ -0,0 +1,251 @@
+// Contact between an owner and its machines: who is probed, and how soon a machine that hangs is given up.
+#include <gtest/gtest.h>
+
+#include "part/part.h"
+
+namespace beaconsill::part {
+namespace {
+
+using wire::EndCause;
+using wire::TaskState;
+
+constexpr double kReport = 3, kLease = 17.5, kGrace = 12, kStep = 0.1, kTimeout = 2;
+// A report is late after 1.6 periods; a late machine has 3.9 s to answer, and the probes need some steps.
+constexpr double kSooner = 1.6 * kReport + 3.9 + 0.6;
+
+Instant at(double s) {
+  return Instant{} + from_seconds(1000 + s);
+}
+
+enum class Trouble {
+  kNone,
+  kHangs,       // neither reports nor answers
+  kMute,        // no report arrives, direct commands do
+  kDeaf,        // reports, but neither answers nor commands reach it
+  kCommandsCut  // late reports arrive by way of other controllers; commands get no answer
+};
+
+struct Worker {
+  wire::Report report;
+  double next = 0;      // report
+  double reported = 0;  // last time
+  double lease_from = 0;
+  Trouble trouble = Trouble::kNone;
+};
+
+// An owner with some machines of a zone, in steps of simulated time.
+struct Fleet {
+  explicit Fleet(int machines) : part(PartId(0), Term(5), params(), at(0)) {
+    auto catalogue = std::make_shared<wire::Catalogue>();
+    (*catalogue)[MachineType("t4")] = {MachineType("t4"), {4, 0, 16}, 10, 0.1, 1, 0.5, 20, {Zone("a")}};
+    part.set_catalogue(catalogue);
+    std::vector<store::MachineRecord> records;
+    for (int i = 0; i < machines; ++i) {
+      Worker w;
+      w.report.machine = MachineName("m" + std::to_string(i));
+      w.report.address = "127.0.0.1:1";
+      w.report.type = MachineType("t4");
+      w.report.zone = Zone("a");
+      w.report.session = Session(1);
+      w.report.token = Token::first_of(Term(5));
+      w.next = kReport * i / machines;
+      records.push_back({w.report.machine, w.report.type, w.report.zone, false, w.report.address, false});
+      workers[w.report.machine] = w;
+    }
+    part.on_registry(records, at(0));
+  }
+
+  static PartParams params() {
+    PartParams p;
+    p.report_period = from_seconds(kReport);
+    p.lease = from_seconds(kLease);
+    p.cancel_limit = from_seconds(47.5);
+    p.grace = from_seconds(kGrace);
+    return p;
+  }
+
+  wire::Report next_report(Worker& w) {
+    w.report.sequence = Sequence(w.report.sequence.value() + 1);
+    return w.report;
+  }
+
+  void step() {
+    now += kStep;
+    for (auto& [name, w] : workers) {
+      if (now - w.lease_from > kLease && w.trouble != Trouble::kHangs) {
+        w.report.session = Session(w.report.session.value() + 1);
+        w.report.tasks.clear();
+        w.lease_from = now;
+      }
+      if (now < w.next || w.trouble == Trouble::kHangs || w.trouble == Trouble::kMute) continue;
+      part.on_report(next_report(w), at(now));
+      w.reported = now;
+      if (!part.find_machine(name)) continue;
+      part.answer(name, at(now));
+      if (w.trouble != Trouble::kDeaf) w.lease_from = now;
+      w.next = now + (w.trouble == Trouble::kDeaf ? 5 : w.trouble == Trouble::kCommandsCut ? 10 : kReport);
+    }
+    part.tick(at(now), at(now), at(now));
+    for (auto& b : part.take_batches(at(now))) {
+      auto& w = workers.at(b.machine);
+      if (b.commands.empty()) ++probes[b.machine];
+      if (w.trouble != Trouble::kNone && w.trouble != Trouble::kMute) {
+        timeouts.emplace(now + kTimeout, b);
+        continue;
+      }
+      w.report.token = std::max(w.report.token, b.token);
+      for (const auto& c : b.commands)
+        if (c.op == wire::Command::Op::kStart)
+          w.report.tasks.push_back({c.task, c.attempt, TaskState::kRunning, EndCause::kDone, false});
+      part.on_commands(b, Part::CommandResult::kExecuted, next_report(w), at(now));
+    }
+    while (!timeouts.empty() && timeouts.begin()->first <= now) {
+      auto b = timeouts.extract(timeouts.begin()).mapped();
+      part.on_commands(b, Part::CommandResult::kNoAnswer, std::nullopt, at(now));
+    }
+    for (auto& name : part.take_deletions(at(now))) {
+      deleted[name] = now - workers.at(name).reported;
+      part.on_deleted(name, at(now));
+    }
+  }
+  // So many tasks that every machine gets some.
+  void grant_tasks() {
+    wire::JobSpec spec;
+    spec.id = JobId("run-1");
+    spec.tasks = static_cast<std::uint32_t>(4 * workers.size());
+    spec.each = {1, 0, 1};
+    spec.image = ImageName("image");
+    job.record = {std::make_shared<const wire::JobSpec>(spec), WallMs(0)};
+    job.created = job.grants.version = Revision(1);
+    job.grants.value.last = Generation(1);
+    job.grants.value.chunks = {
+        {Generation(1), PartId(0), Term(5), Ranges::span(0, spec.tasks), std::nullopt, false, {}}};
+    part.on_job(spec.id, &job, std::nullopt, at(now));
+  }
+  void run_until(double t) {
+    while (now < t) step();
+  }
+  void trouble(int first, int last, Trouble t) {
+    for (int i = first; i < last; ++i) workers.at(MachineName("m" + std::to_string(i))).trouble = t;
+  }
+
+  Part part;
+  store::Job job;
+  double now = 0;
+  std::map<MachineName, Worker> workers;
+  std::map<MachineName, int> probes;
+  std::multimap<double, Part::Batch> timeouts;
+  std::map<MachineName, double> deleted;  // how long after the last report
+};
+
+// When the first machine is given up after trouble that begins with the report at 30 s. Sound machines never
+// are.
+TEST(Contact, AMachineThatHangsIsGivenUpSoonerThanByGrace) {
+  struct Case {
+    const char* what;
+    int machines, troubled;
+    Trouble trouble;
+    double lasts;
+    std::optional<double> from, until;  // since its last report; none: nothing is deleted
+    bool work = false;                  // it begins as work is sent
+  };
+  const Case cases[] = {
+      {"one hangs", 12, 1, Trouble::kHangs, 60, 1.6 * kReport + 3.9, kSooner},
+      {"one hangs as work is sent", 12, 1, Trouble::kHangs, 60, 1.6 * kReport + 3.9, kSooner, true},
+      {"some hang at once", 40, 9, Trouble::kHangs, 60, 1.6 * kReport + 3.9, kSooner},
+      {"it goes on after a while", 12, 1, Trouble::kHangs, 5, {}, {}},
+      {"so many that it's rather the path to them", 12, 4, Trouble::kHangs, 60, kGrace, kGrace + 1},
+      {"all of them", 12, 12, Trouble::kHangs, 60, {}, {}},
+      {"it's the only one of its zone", 1, 1, Trouble::kHangs, 60, kGrace, kGrace + 1},
+      {"mute for less than a lease", 12, 1, Trouble::kMute, 14, {}, {}},
+      {"mute for longer", 12, 1, Trouble::kMute, 60, kLease, kLease + 1},
+      {"deaf", 12, 1, Trouble::kDeaf, 60, 0, 5},
+      {"no command gets through, one hangs", 12, 12, Trouble::kCommandsCut, 30, kGrace, kGrace + 1},
+  };
+  for (const auto& c : cases) {
+    Fleet f(c.machines);
+    f.run_until(30);
+    f.trouble(0, c.troubled, c.trouble);
+    if (c.work) f.grant_tasks();
+    if (c.trouble == Trouble::kCommandsCut) f.trouble(0, 1, Trouble::kHangs);
+    f.run_until(30 + c.lasts);
+    f.trouble(0, c.troubled, Trouble::kNone);
+    f.run_until(100);
+    for (const auto& [name, silence] : f.deleted) {
+      int index = std::stoi(name.value().substr(1));
+      EXPECT_LT(index, c.trouble == Trouble::kCommandsCut ? 1 : c.troubled) << c.what;
+    }
+    EXPECT_EQ(!f.deleted.empty(), c.from.has_value()) << c.what;
+    if (f.deleted.empty() || !c.from) continue;
+    for (const auto& [name, silence] : f.deleted) {
+      EXPECT_GE(silence, *c.from) << c.what;
+      EXPECT_LE(silence, *c.until) << c.what;
+    }
+  }
+}
+
+// Nobody is probed who reports in time; a late machine is, and one sound machine of its zone as well, which
+// shows that the way there is open.
+TEST(Contact, OnlyLateMachinesAndOneWitnessAreProbed) {
+  Fleet f(12);
+  f.run_until(30);
+  EXPECT_TRUE(f.probes.size() <= 12 && f.probes[MachineName("m0")] <= 1);  // once, at the takeover
+  auto before = f.probes;
+  f.trouble(0, 1, Trouble::kHangs);
+  f.run_until(35);
+  EXPECT_GE(f.probes[MachineName("m0")] - before[MachineName("m0")], 1);
+  int others = 0;
+  for (const auto& [name, n] : f.probes)
+    if (name != MachineName("m0")) others += n - before[name];
+  EXPECT_GE(others, 1);
+  EXPECT_LE(others, 5);
+  EXPECT_FALSE(f.part.machines().at(MachineName("m0")).usable(at(35)));
+}
+
+// What had no answer while this node stood still proves nothing: the machine has its time to answer anew.
+TEST(Contact, StandingStillIsNotHeldAgainstAMachine) {
+  Fleet f(12);
+  f.run_until(30);
+  f.trouble(0, 1, Trouble::kHangs);
+  f.run_until(36);
+  f.now = 44;  // the node's, not the workers': they have waited meanwhile
+  f.part.on_stood_still(at(f.now));
+  f.trouble(0, 1, Trouble::kNone);
+  for (auto& [name, w] : f.workers) {
+    w.next = w.lease_from = f.now;
+    w.reported = f.now;
+  }
+  f.workers.at(MachineName("m0")).next = f.now + 3;
+  f.run_until(80);
+  EXPECT_TRUE(f.deleted.empty());
+}
+
+// A machine may go on between the request for its deletion and the answer to that, which can take seconds, or
+// fail: what is cancelled there is told to stop in the answer to its report, since it gets no batches.
+TEST(Contact, AMachineThatGoesOnWhileItIsBeingDeletedIsToldToStop) {
+  Fleet f(12);
+  f.run_until(30);
+  f.grant_tasks();
+  f.run_until(31);
+  auto& w = f.workers.at(MachineName("m0"));
+  ASSERT_FALSE(w.report.tasks.empty());
+  f.run_until(35);
+  f.trouble(0, 1, Trouble::kHangs);
+  double t = 35;
+  std::vector<MachineName> marked;
+  for (; marked.empty() && t < 60; t += kStep) {
+    for (auto& [name, x] : f.workers)
+      if (name != MachineName("m0")) f.part.on_report(f.next_report(x), at(t));
+    marked = f.part.take_deletions(at(t));
+  }
+  ASSERT_EQ(marked, std::vector{MachineName("m0")});
+  f.part.on_job(JobId("run-1"), &f.job, store::End::kCancelled, at(t));
+  for (const auto& b : f.part.take_batches(at(t))) EXPECT_NE(b.machine, MachineName("m0"));
+  f.part.on_report(f.next_report(w), at(t + 0.1));
+  auto answer = f.part.answer(MachineName("m0"), at(t + 0.1));
+  EXPECT_EQ(answer.commands.size(), w.report.tasks.size());
+  for (const auto& c : answer.commands) EXPECT_EQ(c.op, wire::Command::Op::kStop);
+}
+
+}  // namespace
+}  // namespace beaconsill::part
