Policy: longest_wait follows from the aims, within 60 and 150 s

Cause: 150 s for every deployment, whatever its aims allow a job to wait. Change: the longest time of an aim on starts or completion (expressions know it as longest_aim), within 60 s, below which age would rule instead of due times, and 150 s, so that the largest begin within four minutes. A policy overrides it.

--- a/src/config/policy.cpp
+++ b/src/config/policy.cpp
@@ -1,5 +1,6 @@
 #include "config/policy.h"
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <functional>
@@ -20,6 +21,18 @@
   std::function<void(Policy&, double)> set;
 };
 
+// Whatever the aims say, the largest jobs have to begin within four minutes.
+constexpr double kLongestAimOfAll_s = 240;
+
+// The longest time that an aim leaves a job to start or to complete in: what waits beyond that has missed all
+// its aims. Deadlines don't count here, since they are each job's own.
+double longest_aim_s(const Settings& s) {
+  double longest = 0;
+  for (const auto& o : s.objectives)
+    if (o.kind == "wait" || o.kind == "finished") longest = std::max(longest, o.within_s);
+  return longest > 0 ? std::min(longest, kLongestAimOfAll_s) : kLongestAimOfAll_s;
+}
+
 const std::vector<KnobSpec>& specs() {
   static const std::vector<KnobSpec> kSpecs{
       {"reply_wait", ExprType::kDuration, "2s", 0.01, 60,
@@ -41,7 +54,10 @@
       {"home_delay", ExprType::kDuration, "15s", 0, 86400,
        "how long a part's home node is well before it gets it back",
        [](Policy& p, double v) { p.home_delay = from_seconds(v); }},
-      {"longest_wait", ExprType::kDuration, "150s", 1, 86400,
+      // Within a minute the order by due times does better than the order by age. The head of the queue is no
+      // room yet: tasks have to end first, and until 1.3 times the wait work of higher priority goes before.
+      // That and a large job's share of rounds have to fit into the four minutes.
+      {"longest_wait", ExprType::kDuration, "clamp(longest_aim, 60s, 150s)", 1, 86400,
        "how long a job may get nothing before it goes to the head of the queue",
        [](Policy& p, double v) { p.longest_wait = from_seconds(v); }},
   };
@@ -55,6 +71,7 @@
           {"lease", duration(s.lease_s)},
           {"cancel_limit", duration(s.cancel_s)},
           {"list_lag", duration(s.list_lag_s)},
+          {"longest_aim", duration(longest_aim_s(s))},
           {"controllers", number(static_cast<double>(s.controllers()))},
           {"zones", number(static_cast<double>(s.zones.size()))},
           {"teams", number(static_cast<double>(s.teams.size()))},
