--- a/tests/controller_meetings_node_test.cpp
+++ b/tests/controller_meetings_node_test.cpp
@@ -278,7 +278,7 @@
 struct Users : Viewer {
   Users()
       : config(settings(state, cloud)),
-        api(clock, config, store, mirror,
+        api(io, clock, config, store, mirror,
             {[this] { return &types; }, [](Revision) {}, [this](Revision r) { told = r; },
              [](const JobId&) { return 0u; }, [] { return true; }}) {
     types[MachineType("t4")] = {MachineType("t4"), {4, 0, 16}, 10, 0.1, 1, 0.5, 20, {Zone("east")}};
