--- a/tests/standins.h
+++ b/tests/standins.h
@@ -43,7 +43,10 @@
       doors[i] = std::make_shared<HttpServer>(
           io, any_port(), net::ServerLimits{}, [](const Request&) { return false; },
           [this, i](Request r, HttpServer::Reply reply) {
-            if (down || shut[i]) return reply({503, "{}"});
+            if (down || shut[i]) {
+              ++refused[r.path];
+              return reply({503, "{}"});
+            }
             if (silent) return unanswered.push_back(reply);
             auto met = trouble ? trouble(r) : Trouble::kNone;
             if (met == Trouble::kLate) return late_.emplace_back(std::move(r), std::move(reply)), void();
@@ -63,6 +66,7 @@
   bool txn_answers_lost = false;  // transactions are carried out
   std::vector<HttpServer::Reply> unanswered;
   std::map<std::string, int> requests;  // carried out, by path
+  std::map<std::string, int> refused;   // for an outage, by path
   std::array<std::shared_ptr<HttpServer>, 2> doors;
   std::map<std::string, std::pair<Json, std::uint64_t>> keys;
   // What befalls a request: carried out only by `carry_out_late` and never answered, or carried out at once
