Rounds: nobody waits behind jobs that need other room

Cause: a round was about the first 24 jobs (16 shapes) of the queue; when those needed a zone that is full, nobody behind them was asked about. While a service that found no room waited and others came, all rounds were for services alone. An overdue gang without room kept arrays out for up to 300 s. Change: six places (four shapes) of a round are for the jobs that no round was about for longest; every report period a round is about all that waits; an array that has got nothing for 60 s gives way to a gang no more.

--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -97,6 +97,8 @@
     std::vector<std::int64_t> due_ms;  // when it should be complete, the first time first
     bool granted_once = false;
     Instant waiting_since{};
+    Instant asked{};    // when a round was last about it
+    Instant granted{};  // when it was last granted tasks
   };
   struct Sent {
     Revision revision;
@@ -114,6 +116,7 @@
     bool writing = false;
   };
 
+  void choose(const std::vector<QueuedJob>& waiting, Round& r, Instant now, WallMs wall);
   // Rooms that hold all `n` tasks of a gang: of one part if one can, else of several; empty if they can't.
   static std::vector<Room> rooms_for_gang(std::uint32_t n, std::vector<Room> rooms);
   std::uint32_t allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const;
@@ -141,7 +144,8 @@
   std::optional<Round> round_;
   std::uint64_t next_round_ = 1;
   Instant last_round_{};
-  bool urgent_ = false;  // something came that shouldn't wait for the next period
+  Instant last_full_round_{};  // last one that wasn't for services only
+  bool urgent_ = false;        // something came that shouldn't wait for the next period
 };
 
 }  // namespace beaconsill::lead
--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -11,6 +11,13 @@
 
 constexpr std::size_t kJobsPerRound = 24;
 constexpr std::size_t kShapesPerRound = 16;
+// Of these, the places that go to jobs in the order of the queue if there are more. The others are kept for
+// those that were not asked about for longest: what is first in the queue may wait for room that others don't
+// need.
+constexpr std::size_t kJobsInOrder = 18;
+constexpr std::size_t kShapesInOrder = 12;
+// What has got nothing for so long gives way no more.
+constexpr Duration kLongestGivingWay = std::chrono::seconds(60);
 constexpr Duration kMinGap = std::chrono::milliseconds(20);
 // In multiples of the longest wait: until when others give way to a gang that finds no room.
 constexpr double kGiveWay = 3;
@@ -23,23 +30,17 @@
   if (now - last_round_ < (urgent_ ? kMinGap : params_.report_period / 2)) return std::nullopt;
   Round r;
   auto waiting = order(wall);
-  // What came just now and shouldn't wait goes by itself: a write for many arrays would hold up services.
+  // What came just now and shouldn't wait goes by itself: a write for many arrays would hold up services. But
+  // services that find no room would hold up the arrays without end, as others come.
   auto service = [&](const QueuedJob& q) { return jobs_.at(q.id).record.spec->kind == JobKind::kService; };
-  if (urgent_ && std::any_of(waiting.begin(), waiting.end(), service))
+  bool services_only = urgent_ && now - last_full_round_ < params_.report_period &&
+                       std::any_of(waiting.begin(), waiting.end(), service);
+  if (services_only) {
     std::erase_if(waiting, [&](const QueuedJob& q) { return !service(q); });
-  for (const auto& q : waiting) {
-    const auto& id = q.id;
-    auto shape = part::shape_of(*jobs_.at(id).record.spec, 0);
-    auto it = std::find(r.shapes.begin(), r.shapes.end(), shape);
-    if (it == r.shapes.end()) {
-      if (r.shapes.size() >= kShapesPerRound) continue;
-      it = r.shapes.insert(it, shape);
-    }
-    r.shape_of.push_back(static_cast<std::size_t>(it - r.shapes.begin()));
-    r.jobs.push_back(id);
-    if (auto w = overdue(jobs_.at(id), wall); w >= 1 && w < kGiveWay) r.overdue.insert(id);
-    if (r.jobs.size() >= kJobsPerRound) break;
+  } else {
+    last_full_round_ = now;
   }
+  choose(waiting, r, now, wall);
   urgent_ = false;
   if (r.jobs.empty()) return std::nullopt;
   r.id = next_round_++;
@@ -51,6 +52,39 @@
   return ask;
 }
 
+// Which of those that wait, in the order of the queue, the round is about.
+void Lead::choose(const std::vector<QueuedJob>& waiting, Round& r, Instant now, WallMs wall) {
+  std::vector<std::optional<std::size_t>> shape_of(waiting.size());
+  std::size_t chosen = 0;
+  auto take = [&](std::size_t i, std::size_t most_shapes) {
+    auto shape = part::shape_of(*jobs_.at(waiting[i].id).record.spec, 0);
+    auto it = std::find(r.shapes.begin(), r.shapes.end(), shape);
+    if (it == r.shapes.end()) {
+      if (r.shapes.size() >= most_shapes) return;
+      it = r.shapes.insert(it, shape);
+    }
+    shape_of[i] = static_cast<std::size_t>(it - r.shapes.begin());
+    ++chosen;
+  };
+  for (std::size_t i = 0; i < waiting.size() && chosen < kJobsInOrder; ++i) take(i, kShapesInOrder);
+  std::vector<std::size_t> others;
+  for (std::size_t i = 0; i < waiting.size(); ++i)
+    if (!shape_of[i]) others.push_back(i);
+  std::stable_sort(others.begin(), others.end(), [&](std::size_t a, std::size_t b) {
+    return jobs_.at(waiting[a].id).asked < jobs_.at(waiting[b].id).asked;
+  });
+  for (auto i : others)
+    if (chosen < kJobsPerRound) take(i, kShapesPerRound);
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    if (!shape_of[i]) continue;
+    auto& e = jobs_.at(waiting[i].id);
+    e.asked = now;
+    r.shape_of.push_back(*shape_of[i]);
+    r.jobs.push_back(waiting[i].id);
+    if (auto w = overdue(e, wall); w >= 1 && w < kGiveWay) r.overdue.insert(waiting[i].id);
+  }
+}
+
 std::vector<Room> Lead::rooms_for_gang(std::uint32_t n, std::vector<Room> rooms) {
   std::map<PartId, std::uint64_t> by_part;
   std::uint64_t sum = 0;
@@ -99,7 +133,8 @@
     if (want == 0) continue;
 
     bool gang = spec.kind == JobKind::kGang;
-    if (give_way && spec.kind == JobKind::kArray) continue;
+    bool gives_way = now - std::max(e.waiting_since, e.granted) < kLongestGivingWay;
+    if (give_way && spec.kind == JobKind::kArray && gives_way) continue;
     if (gang && want < e.pending.count()) continue;
     if (gang && !e.live.empty()) {
       if (e.grants.recall || now - e.waiting_since < 2 * params_.report_period) continue;
@@ -247,7 +282,7 @@
   return grants;
 }
 
-void Lead::on_granted(const std::vector<Grant>& grants, std::optional<Revision> revision, Instant) {
+void Lead::on_granted(const std::vector<Grant>& grants, std::optional<Revision> revision, Instant now) {
   // Others may have come while it was written, and services go by themselves.
   bool more = round_ && (grants.size() >= params_.max_writes || for_services());
   round_.reset();
@@ -256,6 +291,7 @@
   for (const auto& g : grants) {
     auto it = jobs_.find(g.job);
     if (it == jobs_.end()) continue;
+    it->second.granted = now;
     for (const auto& c : g.grants.chunks)
       if (c.generation > it->second.grants.last)
         sent_[c.part].push_back({*revision, it->second.record.spec->each.cpus * c.tasks.count()});
