Sick machines: not taken for empty before they have reported to a new owner

Cause: after a takeover no task of a machine is known yet, so one recorded as sick passed for empty and was deleted at once with what ran there. Change: only a machine that has reported under this owner can be empty. An answer that is missing counts only if nothing came from the machine since the command was sent.

--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -88,7 +88,7 @@
   auto& m = it->second;
   touch(m);
   if (result == CommandResult::kNoAnswer) {
-    ++m.unanswered;
+    if (m.unanswered_since) ++m.unanswered;
   } else {
     m.forget_unanswered();
     commands_answered_[m.zone] = now;
@@ -150,17 +150,16 @@
 
 // None: it's kept.
 const char* Part::reason_to_delete(const Machine& m, bool cut_off, Instant now) const {
-  bool empty = m.tasks.empty() && m.channel == Machine::Channel::kIdle;
+  // What ran on those that have obeyed this owner ends with their leases, and they may come back.
+  if (cut_off && m.reported) return nullptr;
+  // After a takeover nothing is known to be there until it has reported, but something may well run.
+  bool empty = m.reported && m.tasks.empty() && m.channel == Machine::Channel::kIdle;
   if (m.sick && empty) return "sick";
   if (m.closed && empty) return "not needed";
   auto patience = m.reported ? params_.grace : params_.grace + kTakeoverPatience;
-  if (cut_off) {
-    // What ran on those that have obeyed this owner ends with their leases, and they may come back. The
-    // others hold up the rebuilding, though not without end: an earlier owner that is cut off with them
-    // keeps their tasks running until its word of cancellations is too old.
-    if (m.reported) return nullptr;
-    patience = std::max(patience, params_.cancel_limit);
-  }
+  // The others hold up the rebuilding, though not without end: an earlier owner that is cut off with them
+  // keeps their tasks running until its word of cancellations is too old.
+  if (cut_off) patience = std::max(patience, params_.cancel_limit);
   if (hangs(m, now)) return "answers neither commands nor probes";
   // Of a zone that comes back, or when this node has stood still, half of the machines report before the
   // others do, and those would pass for silent.
--- a/tests/contact_test.cpp
+++ b/tests/contact_test.cpp
@@ -250,5 +250,26 @@
   for (const auto& c : answer.commands) EXPECT_EQ(c.op, wire::Command::Op::kStop);
 }
 
+// A machine recorded as sick keeps what runs there through a takeover as well: before it has reported to the
+// new owner it is not known to be empty.
+TEST(Contact, ASickMachineIsNotTakenForEmptyBeforeItHasReported) {
+  for (bool runs : {true, false}) {
+    Part part(PartId(0), Term(5), Fleet::params(), at(0));
+    part.on_registry({{MachineName("m1"), MachineType("t4"), Zone("a"), false, "127.0.0.1:1", true}}, at(0));
+    EXPECT_TRUE(part.take_deletions(at(0.1)).empty());
+    wire::Report r;
+    r.machine = MachineName("m1");
+    r.type = MachineType("t4");
+    r.zone = Zone("a");
+    r.session = Session(1);
+    r.sequence = Sequence(1);
+    r.token = Token::first_of(Term(5));
+    if (runs)
+      r.tasks.push_back({{JobId("run-1"), 0}, Attempt(1), TaskState::kRunning, EndCause::kDone, false});
+    part.on_report(r, at(0.2));
+    EXPECT_EQ(part.take_deletions(at(0.3)).empty(), runs);
+  }
+}
+
 }  // namespace
 }  // namespace beaconsill::part
