Commands to an address that is not understood count as unanswered

Cause: they were dropped without a word to the part, which waited for their answer for good: nothing more was sent to that machine, not even stops, and what was placed there never ran. Change: the part is told that there was no answer; the machine comes into doubt, and its answers to reports carry stops.

--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -182,6 +182,8 @@
   auto at = net::parse_endpoint(b.address);
   if (!at) {
     spdlog::error("{}: address {} is not understood", b.machine.value(), b.address);
+    // Else the part would wait for an answer for good, and so would the tasks that it placed there.
+    parts_.at(id).part->on_commands(b, part::Part::CommandResult::kNoAnswer, std::nullopt, ctx_.now());
     return;
   }
   auto& c = channel(b.machine, b.address, *at);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -294,6 +294,32 @@
   EXPECT_EQ(started(), 8);
 }
 
+// A worker whose address makes no sense: commands to it count as unanswered, so that it comes into doubt,
+// rather than that its tasks wait for an answer for good.
+TEST(EndToEnd, CommandsToAnAddressThatIsNotUnderstoodCountAsUnanswered) {
+  World w;
+  w.healthy();
+  w.workers[0]->stop();
+  std::uint64_t tally = 0, first = 0, seen = 0;
+  auto report = [&] {
+    Json r{{"beacon", "host-9"},    {"address", "nowhere"}, {"hull", "t4"},
+           {"harbour", "east"},     {"driftwood", false},   {"watch", 1},
+           {"tally", ++tally},      {"helm", seen},         {"recallS", nullptr},
+           {"lamps", Json::array()}};
+    auto a = w.call(0, "POST", "/hello", r.dump());
+    if (a.status != 200) return;
+    seen = a.body["helm"].get<std::uint64_t>();
+    if (first == 0) first = seen;
+    w.io.run_for(std::chrono::milliseconds(20));
+  };
+  for (int n = 0; n < 500 && first == 0; ++n) report();
+  ASSERT_GT(first, 0u);
+  w.call(0, "POST", "/v1/jobs", World::job("run-9", "daemon", 64));
+  // Raised once for the commands, and once more since they had no answer.
+  for (int n = 0; n < 500 && seen < first + 2; ++n) report();
+  EXPECT_GE(seen, first + 2);
+}
+
 TEST(EndToEnd, ASuccessorTakesOverWithoutRestartingWhatRuns) {
   World w;
   w.healthy();
