Deletions: no more machines marked than one request holds, unanswered ones included

Cause: the bound held for each look, ten a second; while the cloud left a request unanswered, hundreds more were marked, and what is being deleted gets no batches. Change: machines whose deletion is under way count. Measured: a test that fails without it; all of ctest passes. The last check of OnlyWhatOneRequestHoldsIsMarkedForDeletion would hold by this bound alone now, so the first request is answered before it.

--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -134,10 +134,12 @@
   if (superseded_) return out;
   auto cut_off = cut_off_zones(now);
   for (const auto& zone : cut_off) cut_off_[zone] = now;
+  // A zone that comes back after all must not find hundreds marked, by this request or by others that are not
+  // answered yet: what is being deleted gets no commands but the stops in answers to its reports.
+  auto under_way = static_cast<std::size_t>(
+      std::count_if(machines_.begin(), machines_.end(), [](const auto& m) { return m.second.deleting; }));
   for (auto& [name, m] : machines_) {
-    // A zone that comes back after all must not find hundreds marked that the request had no place for: what
-    // is being deleted gets no commands, not even for jobs that are cancelled.
-    if (out.size() >= wire::kMaxDelete) break;
+    if (out.size() + under_way >= wire::kMaxDelete) break;
     if (m.deleting || (m.delete_retry && now < *m.delete_retry)) continue;
     const char* why = reason_to_delete(m, cut_off.contains(m.zone), now);
     if (!why) continue;
--- a/tests/contact_test.cpp
+++ b/tests/contact_test.cpp
@@ -271,5 +271,19 @@
   }
 }
 
+// What is being deleted gets no commands: no more machines are so marked than one request holds, however many
+// requests the cloud leaves unanswered for a while.
+TEST(Contact, NoMoreAreMarkedForDeletionWhileARequestIsUnanswered) {
+  Fleet f(250);
+  f.run_until(kReport + 1);
+  for (const auto& [name, w] : f.workers) f.part.release(name);
+  auto first = f.part.take_deletions(at(5));
+  EXPECT_EQ(first.size(), wire::kMaxDelete);
+  EXPECT_TRUE(f.part.take_deletions(at(5.1)).empty());
+  for (std::size_t i = 0; i < 30; ++i) f.part.on_deleted(first[i], at(5.2));
+  f.part.on_delete_failed(first[30], at(5.2));
+  EXPECT_EQ(f.part.take_deletions(at(5.3)).size(), 31u);
+}
+
 }  // namespace
 }  // namespace beaconsill::part
--- a/tests/part_test.cpp
+++ b/tests/part_test.cpp
@@ -714,7 +714,8 @@
     if (batch.machine == MachineName(last))
       for (auto& c : batch.commands) stops += c.op == wire::Command::Op::kStop;
   EXPECT_EQ(stops, 1u);
-  // Those that stay silent go with the next requests.
+  // Those that stay silent go with the next requests, once this one is answered.
+  for (const auto& name : first) b.part.on_deleted(name, at(60.6));
   for (auto& n : names)
     if (std::count(first.begin(), first.end(), MachineName(n)) == 0) b.report(n.c_str(), 60.5);
   EXPECT_TRUE(b.part.take_deletions(at(61)).empty());
