Limits: what a cancelled job leaves is granted under its part's term only

Cause: an owner tells that a cancelled job's tasks were returned, and the leader gives their place in the team's limit to another job at once. The same holds for the deletion of the job's keys.

Change: both writes are conditional on the role of the part whose message they rest on.

--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -13,7 +13,28 @@
     : params_(params), teams_(std::move(teams)), objectives_(std::move(objectives)) {}
 
 void Lead::ledger(const Entry& e, int sign) {
-  usage_[e.record.spec->team] += e.record.spec->each * (sign * static_cast<double>(e.charged));
+  const auto& team = e.record.spec->team;
+  usage_[team] += e.record.spec->each * (sign * static_cast<double>(e.charged));
+  if (!e.end) return;
+  auto& left = left_by_message_[team];
+  for (auto part : e.told_by)
+    if ((left[part] += sign) == 0) left.erase(part);
+}
+
+// Found by reading the code: the owner of a part told that a cancelled job's tasks were returned, and their
+// place in the team's limit went to another job. Its successor, which had neither read the cancellation nor
+// knew of the message, could still start them. Under the present term's role no successor has begun; one that
+// begins later reads the cancellation first.
+std::set<PartId> Lead::rests_on(const Entry& e) const {
+  std::set<PartId> parts = e.told_by;
+  if (auto left = left_by_message_.find(e.record.spec->team); left != left_by_message_.end())
+    for (const auto& [part, jobs] : left->second) parts.insert(part);
+  return parts;
+}
+
+std::set<PartId> Lead::returned_by_message(const JobId& id) const {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? std::set<PartId>{} : it->second.told_by;
 }
 
 void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now) {
@@ -65,8 +86,8 @@
     e.live.emplace_back(std::move(r), c);
   }
   // What was only told to be returned stays in the ledger: the part's next owner, who doesn't know of it, may
-  // start it. Not so of a job that is over. Nor what is done, by record or word: should it be started again,
-  // it ends as soon as it has its image.
+  // start it. Not so of a job that is over, see rests_on. Nor what is done, by record or word: should it be
+  // started again, it ends as soon as it has its image.
   e.charged = e.out + (end ? 0 : e.told_returned);
   e.pending = Ranges();
   if (!end) {
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -72,6 +72,9 @@
   std::optional<Duration> late(const JobId& id, WallMs wall) const;
   // Jobs that are over and none of whose tasks can be anywhere: their keys can be dropped.
   std::vector<JobId> drained() const;
+  // The parts whose owners' messages alone show that some of the job's tasks were returned. What is written
+  // for that reason has to hold under their present terms only, as with Grant::rests_on.
+  std::set<PartId> returned_by_message(const JobId& id) const;
 
   // ---- Questions
   std::vector<Demand> demand(Instant now) const;
@@ -122,6 +125,8 @@
   // multiples.
   double overdue(const Entry& e, WallMs wall) const;
   void ledger(const Entry& e, int sign);
+  // Parts on whose owners' messages a grant to this job rests, see Grant::rests_on.
+  std::set<PartId> rests_on(const Entry& e) const;
   std::vector<std::int64_t> due(const wire::JobSpec& spec, WallMs submitted) const;
 
   LeadParams params_;
@@ -136,6 +141,8 @@
   std::map<PartId, Term> terms_;
   // What is granted and neither done nor returned; see on_job for what counts by word.
   std::map<Team, Resources> usage_;
+  // How many jobs that are over have tasks which left the ledger by a part's messages alone.
+  std::map<Team, std::map<PartId, int>> left_by_message_;
   std::map<PartId, wire::Summary> summaries_;
   std::map<PartId, std::vector<Sent>> sent_;  // grants that a part's answers may not reckon with yet
   std::optional<Round> round_;
--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -217,7 +217,7 @@
       by_force = split(want - placed, by_force_where_warm ? warm_preemptible : preemptible);
     if (shares.empty() && by_force.empty()) continue;
 
-    Grant g{job->first, {}, e.grants_version, e.told_by};
+    Grant g{job->first, {}, e.grants_version, rests_on(e)};
     g.grants.last = e.grants.last;
     usage[spec.team] -= spec.each * static_cast<double>(e.told_returned);
     for (const auto& [tasks, chunk] : e.kept) {
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -247,6 +247,7 @@
   if (!leader || !tidying_.empty() || spare == 0) return;
   wire::Txn t;
   t.conditions.push_back(*leader);
+  std::set<PartId> rests_on;
   for (const auto& id : lead_->drained()) {
     const auto* job = ctx_.view().job(id);
     if (!job) continue;
@@ -262,8 +263,12 @@
       t.conditions.push_back(std::move(k));
     }
     tidying_.insert(id);
+    auto parts = lead_->returned_by_message(id);
+    rests_on.insert(parts.begin(), parts.end());
   }
   if (t.writes.empty()) return;
+  for (auto part : rests_on)
+    t.conditions.push_back({store::part_role_key(part), ctx_.view().part_role(part).version});
   ctx_.store->txn(t, store::Urgency::kTidy, [this, t](store::TxnResult r) {
     if (r.outcome == store::Outcome::kOk) {
       ctx_.mirror->apply_own(t, r.revision);
--- /dev/null
+++ b/tests/meetings_lead_test.cpp
@@ -0,0 +1,237 @@
+// Meetings of troubles at the leader: limits, cancellations and messages of owners while parts change hands.
+// See docs/meetings.md.
+#include <gtest/gtest.h>
+
+#include "lead/lead.h"
+
+namespace beaconsill::lead {
+namespace {
+
+using store::End;
+
+Instant at(double s) {
+  return Instant{} + from_seconds(1000 + s);
+}
+
+constexpr double kLimit = 10;
+
+// A leader of two parts under term 1, with one team at a limit of ten CPUs and one without a limit.
+struct Leader {
+  Leader()
+      : lead({std::chrono::seconds(2), std::chrono::seconds(1), std::chrono::seconds(100), {}, 8},
+             {{Team("blue"), 0, kLimit, 0, 0}, {Team("free"), 0, 0, 0, 0}}, {}) {
+    terms(1, 1);
+  }
+  void terms(std::uint64_t first, std::uint64_t second) {
+    now_terms = {{PartId(0), Term(first)}, {PartId(1), Term(second)}};
+    for (const auto& id : lead.on_terms(now_terms)) show(id.value().c_str());
+  }
+  void job(const char* id, std::uint32_t tasks, const char* team = "blue", bool one_zone = false) {
+    wire::JobSpec s;
+    s.id = JobId(id);
+    s.team = Team(team);
+    s.tasks = tasks;
+    s.each = {1, 0, 1};
+    s.one_zone = one_zone;
+    jobs[id].record = {std::make_shared<const wire::JobSpec>(s), WallMs(0)};
+    jobs[id].created = Revision(1);
+    show(id);
+  }
+  void show(const char* id) {
+    auto e = ends.find(id);
+    lead.on_job(JobId(id), &jobs[id], e == ends.end() ? std::nullopt : std::optional(e->second), at(t));
+  }
+  void end(const char* id, End e) {
+    ends[id] = e;
+    show(id);
+  }
+  // The owner of the part tells that the tasks of the job's chunk were returned.
+  void returned(const char* id, std::uint32_t part, std::uint64_t term, Ranges tasks) {
+    for (const auto& c : jobs[id].grants.value.chunks)
+      if (c.part == PartId(part))
+        lead.on_outcomes({PartId(part), Term(term), {{JobId(id), {}, {{c.generation, tasks}}}}});
+    show(id);
+  }
+  // A round in which each part has so much room in these zones.
+  std::vector<Lead::Grant> round(std::map<std::uint32_t, wire::ShapeRoom> rooms) {
+    t += 5;
+    auto ask = lead.begin_round(at(t), WallMs(0), {PartId(0), PartId(1)});
+    if (!ask) return {};
+    for (auto& [p, room] : rooms)
+      lead.on_answer({ask->round, PartId(p), now_terms.at(PartId(p)), Revision(revision),
+                      std::vector(ask->shapes.size(), room)},
+                     at(t));
+    return lead.decide(at(t + 3), now_terms).value_or(std::vector<Lead::Grant>{});
+  }
+  void applied(const std::vector<Lead::Grant>& grants) {
+    ++revision;
+    lead.on_granted(grants, Revision(revision), at(t));
+    for (const auto& g : grants) {
+      jobs[g.job.value()].grants = {g.grants, Revision(revision)};
+      show(g.job.value().c_str());
+    }
+  }
+
+  Lead lead;
+  std::map<PartId, Term> now_terms;
+  std::map<std::string, store::Job> jobs;
+  std::map<std::string, End> ends;
+  std::uint64_t revision = 10;
+  double t = 0;
+};
+
+wire::ShapeRoom room(std::uint32_t free, const char* zone = "east") {
+  return {{Zone(zone), free, 0, 0, 0}};
+}
+
+// "A team is at its limit when the leader changes, some of its machines can't be asked, and a cancellation
+// falls into that spell": what a cancelled job leaves may go to another job only while no successor of the
+// owner that told so can exist. Found by reading the code.
+TEST(AtTheLimit, WhatACancelledJobLeavesRestsOnItsOwnersTerm) {
+  struct Case {
+    const char* what;
+    const char* team;    // of the next job
+    bool recorded;       // the return is in the state service
+    std::uint64_t term;  // under which it was told
+    std::set<PartId> rests_on;
+    std::uint32_t granted;
+  };
+  const Case cases[] = {
+      {"told only", "blue", false, 1, {PartId(0)}, 10},
+      {"recorded as well", "blue", true, 1, {}, 10},
+      {"told under a term that isn't the part's", "blue", false, 2, {}, 0},
+      {"another team's job", "free", false, 1, {}, 10},
+  };
+  for (const auto& c : cases) {
+    Leader l;
+    l.job("run-1", 10);
+    l.applied(l.round({{0, room(10)}, {1, {}}}));
+    l.end("run-1", End::kCancelled);
+    l.job("run-2", 10, c.team);
+    l.returned("run-1", 0, c.term, Ranges::span(0, 10));
+    if (c.recorded) {
+      auto g = l.jobs["run-1"].grants.value.last;
+      l.jobs["run-1"].progress[PartId(0)] = {{{}, {{g, Ranges::span(0, 10)}}}, Revision(20)};
+      l.show("run-1");
+    }
+    auto g = l.round({{0, room(10)}, {1, room(10)}});
+    std::uint32_t granted = 0;
+    for (const auto& x : g)
+      for (const auto& chunk : x.grants.chunks) granted += chunk.tasks.count();
+    EXPECT_EQ(granted, c.granted) << c.what;
+    if (!g.empty()) {
+      EXPECT_EQ(g[0].rests_on, c.rests_on) << c.what;
+    }
+  }
+}
+
+// The same of the job's keys: a successor that hasn't read the end yet may start what they grant.
+TEST(AtTheLimit, KeysAreDroppedUnderTheTermThatToldSoOnly) {
+  Leader l;
+  l.job("run-1", 4);
+  l.applied(l.round({{0, room(4)}, {1, {}}}));
+  l.end("run-1", End::kCancelled);
+  EXPECT_TRUE(l.lead.drained().empty());
+  l.returned("run-1", 0, 1, Ranges::span(0, 4));
+  EXPECT_EQ(l.lead.drained(), std::vector{JobId("run-1")});
+  EXPECT_EQ(l.lead.returned_by_message(JobId("run-1")), std::set{PartId(0)});
+  // The part changes hands: its next owner has to tell anew.
+  l.terms(2, 1);
+  EXPECT_TRUE(l.lead.drained().empty());
+  EXPECT_TRUE(l.lead.returned_by_message(JobId("run-1")).empty());
+  l.returned("run-1", 0, 2, Ranges::span(0, 4));
+  EXPECT_EQ(l.lead.drained(), std::vector{JobId("run-1")});
+}
+
+// The ledger adds up again whatever comes in between: a job that is gone rests on nobody's message.
+TEST(AtTheLimit, NothingIsLeftOfAJobThatIsGone) {
+  Leader l;
+  for (int n = 0; n < 3; ++n) {
+    l.job("run-1", 10);
+    l.applied(l.round({{0, room(10)}, {1, {}}}));
+    l.end("run-1", End::kCancelled);
+    l.returned("run-1", 0, 1, Ranges::span(0, 6));
+    l.returned("run-1", 0, 1, Ranges::span(0, 10));
+    l.show("run-1");
+    l.lead.on_job(JobId("run-1"), nullptr, End::kCancelled, at(l.t));
+    l.jobs.erase("run-1");
+    l.ends.erase("run-1");
+    l.job("run-2", 10);
+    auto g = l.round({{0, room(10)}, {1, {}}});
+    ASSERT_EQ(g.size(), 1u);
+    EXPECT_TRUE(g[0].rests_on.empty());
+    l.lead.on_granted(g, std::nullopt, at(l.t));
+    l.lead.on_job(JobId("run-2"), nullptr, std::nullopt, at(l.t));
+    l.jobs.erase("run-2");
+  }
+}
+
+// "Controllers hand over and back": messages of an owner that was replaced, in any order and repeated, free
+// nothing, whether they come before or after the leader knows of the new term.
+TEST(HandOverAndBack, MessagesOfAnEarlierOwnerFreeNothing) {
+  struct Case {
+    const char* what;
+    std::vector<std::uint64_t> told;  // terms, in the order in which the messages come
+    std::uint64_t term;               // the part's, as the leader knows it at the end
+    bool free;
+  };
+  const Case cases[] = {
+      {"before the change", {1}, 3, false},       {"after it", {}, 3, false},
+      {"by the present owner", {3}, 3, true},     {"a late copy after the present owner's", {3, 1}, 3, true},
+      {"before and late", {1, 1}, 3, false},      {"by one that the leader doesn't know yet", {3}, 1, false},
+      {"both, the older one last", {1}, 1, true},
+  };
+  for (const auto& c : cases) {
+    Leader l;
+    l.job("run-1", 10);
+    l.applied(l.round({{0, room(10)}, {1, {}}}));
+    bool first = true;
+    for (auto term : c.told) {
+      if (!first || term == c.term) l.terms(c.term, 1);
+      first = false;
+      l.returned("run-1", 0, term, Ranges::span(0, 10));
+    }
+    l.terms(c.term, 1);
+    auto g = l.round({{0, {}}, {1, room(10)}});
+    EXPECT_EQ(!g.empty(), c.free) << c.what;
+    if (!g.empty()) {
+      EXPECT_EQ(g[0].rests_on, std::set{PartId(0)}) << c.what;
+    }
+  }
+}
+
+// "Jobs bound to one zone, arrays too, lose machines": what is left out binds the rest to its zone, and
+// nothing else does.
+TEST(OneZone, WhatWasLostFollowsWhatIsLeft) {
+  struct Case {
+    const char* what;
+    Ranges returned;  // of the four tasks in zone "east"
+    const char* zone;
+    std::uint32_t granted;
+  };
+  const Case cases[] = {
+      {"some are left, room elsewhere only", Ranges::span(0, 2), "west", 0},
+      {"some are left, room there", Ranges::span(0, 2), "east", 2},
+      {"none is left", Ranges::span(0, 4), "west", 4},
+  };
+  for (const auto& c : cases) {
+    Leader l;
+    l.job("run-1", 4, "free", true);
+    l.applied(l.round({{0, room(8)}, {1, {}}}));
+    l.returned("run-1", 0, 1, c.returned);
+    auto g = l.round({{0, {}}, {1, room(8, c.zone)}});
+    std::uint32_t granted = 0;
+    for (const auto& x : g) {
+      EXPECT_EQ(x.rests_on, std::set{PartId(0)}) << c.what;
+      for (const auto& chunk : x.grants.chunks)
+        if (chunk.part == PartId(1)) {
+          granted += chunk.tasks.count();
+          EXPECT_EQ(chunk.zone, Zone(c.zone)) << c.what;
+        }
+    }
+    EXPECT_EQ(granted, c.granted) << c.what;
+  }
+}
+
+}  // namespace
+}  // namespace beaconsill::lead
