--- a/tests/sim/controller.h
+++ b/tests/sim/controller.h
@@ -104,6 +104,8 @@
   void read_ledger();
   void tick_lead();
   void write_grants(const std::vector<lead::Lead::Grant>& grants);
+  void void_unanswered(const std::vector<lead::Lead::Grant>& grants, Revision role);
+  bool conditional() const { return !mistake(Mistake::kNoRoleCondition); }
   void write_ends();
   void tidy();
   void on_outcomes(const wire::Outcomes& o);
--- a/tests/sim/controller_lead.cpp
+++ b/tests/sim/controller_lead.cpp
@@ -5,6 +5,7 @@
 namespace {
 constexpr double kReplyWait = 0.5;
 constexpr double kLongestWait = 60;
+constexpr double kVoidAgain = 0.5;
 constexpr double kTidyShare = 0.2;  // of the ticks
 }  // namespace
 
@@ -48,24 +49,44 @@
 
 void Controller::write_grants(const std::vector<lead::Lead::Grant>& grants) {
   wire::Txn t;
-  bool conditional = !mistake(Mistake::kNoRoleCondition);
-  if (conditional) t.conditions.push_back({store::leader_role_key(), p_.view.leader().version});
+  if (conditional()) t.conditions.push_back({store::leader_role_key(), p_.view.leader().version});
   std::set<PartId> rests_on;
   for (const auto& g : grants) rests_on.insert(g.rests_on.begin(), g.rests_on.end());
   for (auto p : rests_on) t.conditions.push_back({store::part_role_key(p), p_.view.part_role(p).version});
   for (const auto& g : grants) {
-    if (conditional) t.conditions.push_back({store::grants_key(g.job), g.expected});
+    if (conditional()) t.conditions.push_back({store::grants_key(g.job), g.expected});
     t.conditions.push_back({store::end_key(g.job), Revision()});
     t.writes.push_back({store::grants_key(g.job), store::to_json(g.grants), std::nullopt});
   }
-  env_.state.txn(n_, t, [this, term = p_.lead_term, t, grants](Result r, Revision rev) {
-    if (!p_.lead || p_.lead_term != term) return;
-    if (r == Result::kOk) {
-      p_.lead->on_granted(grants, rev, instant());
-      return apply_own(t, rev);
-    }
-    sync([this, term, grants](bool) {
-      if (p_.lead && p_.lead_term == term) p_.lead->on_granted(grants, std::nullopt, instant());
+  env_.state.txn(
+      n_, t, [this, term = p_.lead_term, role = p_.view.leader().version, t, grants](Result r, Revision rev) {
+        if (!p_.lead || p_.lead_term != term) return;
+        if (r == Result::kOk) {
+          p_.lead->on_granted(grants, rev, instant());
+          return apply_own(t, rev);
+        }
+        if (r == Result::kUnknown && conditional()) return void_unanswered(grants, role);
+        sync([this, term, grants](bool) {
+          if (p_.lead && p_.lead_term == term) p_.lead->on_granted(grants, std::nullopt, instant());
+        });
+      });
+}
+
+// As LeaderDuty does: late grants must not go beside newer ones.
+void Controller::void_unanswered(const std::vector<lead::Lead::Grant>& grants, Revision role) {
+  const auto& now = p_.view.leader();
+  auto term = p_.lead_term;
+  if (now.value.term != term) return;  // replaced: the next tick sees it
+  wire::Txn t{{{store::leader_role_key(), now.version}},
+              {{store::leader_role_key(), store::to_json(now.value), std::nullopt}}};
+  env_.state.txn(n_, t, [this, term, grants, role](Result, Revision) {
+    sync([this, term, grants, role](bool read) {
+      if (!p_.lead || p_.lead_term != term) return;
+      if (read && p_.view.leader().version > role)
+        return p_.lead->on_granted(grants, std::nullopt, instant());
+      env_.network.later(n_, kVoidAgain, [this, term, grants, role] {
+        if (p_.lead && p_.lead_term == term) void_unanswered(grants, role);
+      });
     });
   });
 }
