Cancellations: disclosed once every controller has acknowledged them

An owner without the state service knew only that a peer had told users of some cancellation, not of which, stopped answering its workers, and all leases ran out.

Heartbeats now carry the cancelled ends that their receiver may lack; the echo acknowledges them, and the receiver stops those tasks. A node tells a user of a cancellation once each peer has it or is out of touch for longer than a promise made to it holds; until then the request is refused at once, with Retry-After. The decision is part::CancellationDisclosure, without sockets or clocks.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view kCancel = "/withdraw";
 // A change that would wait longer than this for the state service's budget is refused at once.
 constexpr Duration kMaxWriteWait = std::chrono::milliseconds(1200);
+constexpr std::string_view kNotAcknowledged = "cancellation not yet known to all controllers";
 
 Response later(std::string_view reason, int after_s = 1) {
   spdlog::debug("refused for now: {}", reason);
@@ -62,9 +63,18 @@
   return hooks_.running(id) > 0 ? wire::JobState::kRunning : wire::JobState::kQueued;
 }
 
+bool Api::withheld(const JobId& id, wire::JobState s) const {
+  return s == wire::JobState::kCancelled && !hooks_.disclose(id);
+}
+
+Response Api::accepted(const JobId& id, wire::JobState s) const {
+  if (withheld(id, s)) return later(kNotAcknowledged);
+  return {200, wire::render_accepted(id, s)};
+}
+
 Response Api::known(const JobId& id, wire::JobState s) const {
+  if (withheld(id, s)) return later(kNotAcknowledged);
   const auto& view = mirror_->view();
-  if (s == wire::JobState::kCancelled) hooks_.told(view.ending(id).version);
   std::uint32_t done = 0;
   if (view.ending(id).exists()) {
     done = view.ending(id).value.done;
@@ -89,7 +99,7 @@
   if (!mirror_->ready()) return reply(later("starting"));
   JobId id = spec.id;
   auto answer_known = [this, id, reply](bool fresh) {
-    if (auto s = state(id); fresh && s) return reply({200, wire::render_accepted(id, *s)});
+    if (auto s = state(id); fresh && s) return reply(accepted(id, *s));
     reply(later("state not known"));
   };
   // What was accepted once is never judged again.
@@ -102,7 +112,7 @@
     // Another node may have accepted it, before the catalogue changed say: only what was read can tell.
     return mirror_->sync([this, id, verdict, reply](bool fresh) {
       if (!fresh) return reply(later("state service not reachable"));
-      if (auto s = state(id)) return reply({200, wire::render_accepted(id, *s)});
+      if (auto s = state(id)) return reply(accepted(id, *s));
       if (verdict.kind == Verdict::Kind::kNever) return reply({422, wire::render_error(verdict.reason)});
       reply(later(verdict.reason, 5));
     });
@@ -167,7 +177,6 @@
   store_->txn(t, store::Urgency::kUser, [this, t, id, reply](store::TxnResult result) {
     if (result.outcome == store::Outcome::kOk) {
       mirror_->apply_own(t, result.revision);
-      hooks_.told(result.revision);
       reply(known(id, wire::JobState::kCancelled));
       return hooks_.changed(result.revision);
     }
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -17,8 +17,9 @@
     std::function<const wire::Catalogue*()> catalogue;
     // A change that others should look at soon.
     std::function<void(Revision)> changed;
-    // A user was told of a cancellation that stands at this revision.
-    std::function<void(Revision)> told;
+    // Whether a user may be told now that the job, which is known to be cancelled, is. The answer follows in
+    // the same callback.
+    std::function<bool(const JobId&)> disclose;
     std::function<std::uint32_t(const JobId&)> running;
     std::function<bool()> healthy;
   };
@@ -36,7 +37,11 @@
   void do_cancel(const JobId& id, net::HttpServer::Reply reply);
   // The job's state as the view has it; none if it isn't known.
   std::optional<wire::JobState> state(const JobId& id) const;
+  // What users are told of a job in this state. All answers that name a state come from these two.
   net::Response known(const JobId& id, wire::JobState s) const;
+  net::Response accepted(const JobId& id, wire::JobState s) const;
+  // A cancellation that another controller may not know of yet isn't told to anybody.
+  bool withheld(const JobId& id, wire::JobState s) const;
   bool overloaded() const;
 
   const Clock& clock_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -67,7 +67,7 @@
                                     api::Api::Hooks{
                                         [this] { return ctx_.catalogue.get(); },
                                         [this](Revision r) { peers_->broadcast(wire::Nudge{r}); },
-                                        [this](Revision r) { peers_->told(r); },
+                                        [this](const JobId& id) { return peers_->disclose(id); },
                                         [this](const JobId& id) { return running(id); },
                                         [this] { return healthy(); },
                                     });
@@ -119,6 +119,7 @@
   if (stopped_) return;
   if (t.roles) roles_->on_view();
   workers_->on_view(t);
+  peers_->on_view(t);
   leader_->on_view(t);
 }
 
@@ -162,7 +163,7 @@
 // are refused, going elsewhere doesn't help them.
 bool Node::healthy() const {
   if (!ctx_.mirror->ready() || !ctx_.catalogue) return false;
-  return ctx_.now() - ctx_.mirror->word() < kUnhealthyAfter || !peers_->state_answers_others();
+  return ctx_.now() - ctx_.mirror->as_of() < kUnhealthyAfter || !peers_->state_answers_others();
 }
 
 void Node::fetch_catalogue() {
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -7,7 +7,20 @@
 constexpr Duration kBeat = std::chrono::milliseconds(500);
 constexpr Duration kFresh = std::chrono::milliseconds(1700);
 constexpr Duration kReset = std::chrono::seconds(4);
-constexpr std::size_t kMaxSent = 32;
+// Heartbeats that don't wait for their time are this far apart, so that dozens of cancellations go in one.
+constexpr Duration kGatherCancelled = std::chrono::milliseconds(20);
+constexpr Duration kStateAnswers = std::chrono::milliseconds(1200);
+
+std::vector<NodeName> names(const std::vector<config::PeerSettings>& peers) {
+  std::vector<NodeName> out;
+  for (const auto& p : peers) out.push_back(p.node);
+  return out;
+}
+
+part::CancellationDisclosure::Params disclosure_params(const config::Settings& s) {
+  using part::CancellationDisclosure;
+  return {CancellationDisclosure::promise_for(from_seconds(s.cancel_s), from_seconds(s.lease_s)), kFresh};
+}
 }  // namespace
 
 PeersDuty::PeersDuty(Context& ctx, Handler handler, std::function<std::vector<wire::PartTerm>()> owned)
@@ -15,8 +28,10 @@
       handler_(std::move(handler)),
       owned_(std::move(owned)),
       beat_(ctx.io, [this] { beat(); }),
+      soon_(ctx.io, [this] { beat_hurried(); }),
       // Numbers of an earlier process of this node must not be taken for this one's.
-      sequence_(static_cast<std::uint64_t>(ctx.clock.wall().value()) << 16) {
+      sequence_(static_cast<std::uint64_t>(ctx.clock.wall().value()) << 16),
+      disclosure_(disclosure_params(ctx.settings), names(ctx.settings.peers), ctx.now()) {
   for (const auto& p : ctx.settings.peers)
     peers_[p.node].link = std::make_shared<net::PeerSender>(ctx.io, *net::parse_endpoint(p.address));
 }
@@ -32,34 +47,85 @@
 
 void PeersDuty::stop() {
   beat_.stop();
+  soon_.stop();
   if (receiver_) receiver_->stop();
   for (auto& [name, p] : peers_) p.link->stop();
 }
 
-void PeersDuty::beat() {
-  auto now = ctx_.now();
+part::CancellationDisclosure::Known PeersDuty::known() const {
+  return {ctx_.mirror->ready(), ctx_.mirror->revision(), ctx_.view().cancelled()};
+}
+
+Revision PeersDuty::disclosed_until() {
+  if (!ctx_.mirror->ready()) return Revision(UINT64_MAX);
+  if (!disclosed_) {
+    // An earlier process of this node may have disclosed any that were read.
+    const auto& cancelled = ctx_.view().cancelled();
+    disclosed_ = cancelled.empty() ? Revision() : cancelled.rbegin()->revision;
+  }
+  return *disclosed_;
+}
+
+wire::Heartbeat PeersDuty::heartbeat() {
   wire::Heartbeat h;
-  // An earlier process of this node may have told more than this one knows, until it has read everything.
-  h.told = ctx_.mirror->ready() ? told_ : Revision(UINT64_MAX);
+  h.told = disclosed_until();
   h.terms = owned_();
-  h.state_ok = ctx_.mirror->ready() && now - ctx_.mirror->word() < std::chrono::milliseconds(1200);
+  h.state_ok = ctx_.mirror->ready() && ctx_.now() - ctx_.mirror->as_of() < kStateAnswers;
+  return h;
+}
+
+void PeersDuty::send_heartbeat(const NodeName& name, Peer& p, wire::Heartbeat h) {
+  p.hurry = false;
+  h.sequence = ++sequence_;
+  h.echo = disclosure_.received(name);
+  h.disclosure = disclosure_.outgoing(name, h.sequence, known(), ctx_.now());
+  send(name, std::move(h));
+}
+
+void PeersDuty::beat() {
+  auto now = ctx_.now();
+  auto h = heartbeat();
   for (auto& [name, p] : peers_) {
-    h.sequence = ++sequence_;
-    h.echo = p.last_sequence;
-    p.sent.emplace_back(h.sequence, now);
-    if (p.sent.size() > kMaxSent) p.sent.pop_front();
-    if (p.link->connected() && now - p.echoed > kReset && now - p.sent.front().second > kReset) {
-      p.sent.clear();
+    auto oldest = disclosure_.oldest_sent(name);
+    if (p.link->connected() && now - disclosure_.echoed(name) > kReset && oldest && now - *oldest > kReset) {
+      disclosure_.forget_sent(name);
       p.link->reset();
     }
-    send(name, h);
+    send_heartbeat(name, p, h);
   }
 }
 
+void PeersDuty::hurry(Peer& p) {
+  p.hurry = true;
+  if (!soon_.pending()) soon_.set(std::max(Duration(0), hurried_ + kGatherCancelled - ctx_.now()));
+}
+
+void PeersDuty::beat_hurried() {
+  hurried_ = ctx_.now();
+  auto h = heartbeat();
+  for (auto& [name, p] : peers_)
+    if (p.hurry) send_heartbeat(name, p, h);
+}
+
+void PeersDuty::on_view(const store::View::Touched& t) {
+  bool cancelled = std::any_of(t.jobs.begin(), t.jobs.end(), [&](const JobId& id) {
+    return ctx_.view().end(id) == store::End::kCancelled;
+  });
+  if (!cancelled) return;
+  for (auto& [name, p] : peers_)
+    if (reachable(name) && disclosure_.lacks_some(name, known())) hurry(p);
+}
+
+bool PeersDuty::disclose(const JobId& id) {
+  const auto& end = ctx_.view().ending(id);
+  if (!disclosure_.may_disclose({end.version, id, end.value.done}, known(), ctx_.now())) return false;
+  disclosed_ = std::max(disclosed_until(), end.version);
+  return true;
+}
+
 void PeersDuty::on_message(std::string_view bytes) {
   auto m = wire::decode_peer(bytes);
-  auto it = m ? peers_.find(m->from) : peers_.end();
-  if (it == peers_.end()) {
+  if (!m || !peers_.contains(m->from)) {
     spdlog::info("message of an unknown peer, or malformed: dropped");
     return;
   }
@@ -70,17 +136,16 @@
     if (t.term > known.term) known = {m->from, t.term};
   }
   if (!h->terms.empty()) handler_(*m);
-  auto& p = it->second;
-  p.last_sequence = h->sequence;
-  for (auto s = p.sent.begin(); s != p.sent.end(); ++s) {
-    if (s->first != h->echo) continue;
-    if (s->second < p.echoed) break;
-    p.echoed = s->second;
-    p.told = h->told;
-    p.state_ok = h->state_ok;
-    p.sent.erase(p.sent.begin(), s);
-    break;
-  }
+  on_heartbeat(m->from, *h);
+}
+
+void PeersDuty::on_heartbeat(const NodeName& from, const wire::Heartbeat& h) {
+  auto& p = peers_.at(from);
+  // Before anything is sent that acknowledges them.
+  if (h.disclosure) ctx_.mirror->apply_cancelled(h.disclosure->cancelled);
+  auto echoed = disclosure_.echoed(from);
+  if (disclosure_.on_heartbeat(from, h, known(), ctx_.now())) hurry(p);
+  if (disclosure_.echoed(from) >= echoed) p.state_ok = h.state_ok;
 }
 
 void PeersDuty::send(const NodeName& to, wire::PeerBody body) {
@@ -96,17 +161,11 @@
 
 bool PeersDuty::reachable(const NodeName& node) const {
   if (node == ctx_.settings.node) return true;
-  auto it = peers_.find(node);
-  return it != peers_.end() && ctx_.now() - it->second.echoed < kFresh;
+  return peers_.contains(node) && ctx_.now() - disclosure_.echoed(node) < kFresh;
 }
 
-Instant PeersDuty::word() const {
-  Instant w = ctx_.now();
-  for (const auto& [name, p] : peers_) {
-    if (p.told > ctx_.mirror->revision()) return Instant{};
-    w = std::min(w, p.echoed);
-  }
-  return w;
+Instant PeersDuty::cancellations_known_until() const {
+  return disclosure_.known_until(ctx_.mirror->ready(), ctx_.now());
 }
 
 std::optional<PeersDuty::Owner> PeersDuty::owner(PartId part) const {
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -1,12 +1,12 @@
 // Links to the other controllers: heartbeats, and how recent what they said is.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
 
 #include "net/peer_link.h"
 #include "node/context.h"
+#include "part/cancellation_disclosure.h"
 #include "wire/peer.h"
 
 namespace beaconsill::node {
@@ -24,10 +24,14 @@
   void broadcast(const wire::PeerBody& body);
   // Whether the node has answered a recent heartbeat; this node itself always has.
   bool reachable(const NodeName& node) const;
-  // A user was told of a cancellation at this revision.
-  void told(Revision r) { told_ = std::max(told_, r); }
-  // All cancellations told to users before this time are known here, by the word of every other node.
-  Instant word() const;
+  // Cancellations that have become known here go to the peers that may lack them.
+  void on_view(const store::View::Touched& t);
+  // Whether a user may be told that the job, whose end is known here, is cancelled. If so, the caller tells
+  // it in the same callback; if not, every controller is being asked and a repeat of the request will
+  // succeed.
+  bool disclose(const JobId& id);
+  // All cancellations that users were told of before this time are known here, by what every peer has said.
+  Instant cancellations_known_until() const;
   // The owner under the highest term that any peer has claimed for the part.
   struct Owner {
     NodeName node;
@@ -40,23 +44,31 @@
  private:
   struct Peer {
     std::shared_ptr<net::PeerSender> link;
-    std::deque<std::pair<std::uint64_t, Instant>> sent;  // heartbeats not yet echoed
-    std::uint64_t last_sequence = 0;                     // of theirs, echoed back
-    Instant echoed{};                                    // what the peer last said, it said after this time
-    Revision told{UINT64_MAX};
     bool state_ok = false;
+    bool hurry = false;  // a heartbeat is due at once
   };
   void beat();
+  void hurry(Peer& p);
+  void beat_hurried();
+  wire::Heartbeat heartbeat();
+  void send_heartbeat(const NodeName& name, Peer& p, wire::Heartbeat h);
   void on_message(std::string_view bytes);
+  void on_heartbeat(const NodeName& from, const wire::Heartbeat& h);
+  part::CancellationDisclosure::Known known() const;
+  // The highest revision of a cancellation that this node may have disclosed, for peers of earlier versions.
+  Revision disclosed_until();
 
   Context& ctx_;
   Handler handler_;
   std::function<std::vector<wire::PartTerm>()> owned_;
   Repeater beat_;
+  Alarm soon_;
+  Instant hurried_{};
   std::map<NodeName, Peer> peers_;
   std::shared_ptr<net::PeerReceiver> receiver_;
   std::uint64_t sequence_;
-  Revision told_;
+  part::CancellationDisclosure disclosure_;
+  std::optional<Revision> disclosed_;  // none until everything was read
   std::map<PartId, Owner> owners_;
 };
 
--- a/src/node/worker_reports.cpp
+++ b/src/node/worker_reports.cpp
@@ -4,8 +4,9 @@
 
 namespace beaconsill::node {
 namespace {
-// Left of the time for a cancellation after the word of it and the lease. It has to cover the clocks' drift
-// and a worker's timer only: a lease counts from when the report was sent, however slow its answer is.
+// Left of the time limit for a cancelled task after the lease that is granted last. It has to cover the
+// clocks' drift and a worker's timer only: a lease counts from when the report was sent, however slow its
+// answer is.
 constexpr double kCancelMargin_s = 1;
 constexpr Duration kRelayWait = std::chrono::milliseconds(800);
 constexpr std::size_t kMaxRelayed = 256;
@@ -31,9 +32,9 @@
 
 net::Response WorkersDuty::answer(Owned& o, PartId id, const wire::Report& report) {
   auto& part = *o.part;
-  // Without word of cancellations for this long, the leases of tasks that may be cancelled have to run out.
+  // After this long without news of cancellations, the leases of tasks that may be cancelled have to run out.
   auto limit = from_seconds(ctx_.settings.cancel_s - ctx_.settings.lease_s - kCancelMargin_s);
-  if (ctx_.now() - word() > limit) return {503, wire::render_error("out of touch"), 1};
+  if (ctx_.now() - cancellations_known_until() > limit) return {503, wire::render_error("out of touch"), 1};
   part.on_report(report, ctx_.now());
   if (part.superseded()) {
     ctx_.mirror->sync([](bool) {});
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -33,8 +33,8 @@
   channels_.clear();
 }
 
-Instant WorkersDuty::word() const {
-  return std::max(ctx_.mirror->word(), peers_.word());
+Instant WorkersDuty::cancellations_known_until() const {
+  return std::max(ctx_.mirror->as_of(), peers_.cancellations_known_until());
 }
 
 void WorkersDuty::own(PartId id, Term term) {
@@ -150,7 +150,7 @@
   }
   for (auto& [id, o] : parts_) {
     read_registry(id, o);
-    o.part->tick(ctx_.now(), word(), ctx_.mirror->word());
+    o.part->tick(ctx_.now(), cancellations_known_until(), ctx_.mirror->as_of());
     for (auto& b : o.part->take_batches(ctx_.now())) send(id, std::move(b));
   }
 }
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -69,8 +69,8 @@
   void remove_machines(PartId part, Owned& o);
   void read_registry(PartId part, Owned& o);
   void load_registry(PartId part, part::Part& p);
-  // All cancellations before this time are known.
-  Instant word() const;
+  // All cancellations that users were told of before this time are known here.
+  Instant cancellations_known_until() const;
   std::optional<NodeName> owner_of(PartId part) const;
   void redirect(PartId part, const net::HttpServer::Reply& reply) const;
   // The owner's answer to a report, relayed or not.
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -93,7 +93,7 @@
                      auto changes = wire::parse_changes(r.body);
                      for (const auto& c : changes.changes) me->view_.apply(c);
                      me->revision_ = std::max(me->revision_, changes.revision);
-                     me->word_ = begun;
+                     me->as_of_ = begun;
                      me->ready_ = ok = true;
                    } catch (const wire::WireError& e) {
                      spdlog::error("state service: changes dropped: {}", e.what());
@@ -150,4 +150,15 @@
   settle();
 }
 
+void Mirror::apply_cancelled(const std::vector<wire::CancelledJob>& jobs) {
+  bool any = false;
+  for (const auto& c : jobs) {
+    if (view_.ending(c.job).version >= c.revision) continue;
+    view_.apply({end_key(c.job), to_json(Ending{End::kCancelled, c.done}), c.revision});
+    any = true;
+  }
+  // While the view is being loaded it lacks roles as well, and nobody may act on that.
+  if (any && ready_) settle();
+}
+
 }  // namespace beaconsill::store
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -24,7 +24,7 @@
   bool ready() const { return ready_; }
   Revision revision() const { return revision_; }
   // The view holds all changes that were made before this time.
-  Instant word() const { return word_; }
+  Instant as_of() const { return as_of_; }
 
   // Calls back once the view holds all that was written before this call; false: could not be read.
   // Calls while a read is under way share the next one.
@@ -33,6 +33,8 @@
   void nudge(Revision r);
   // A change that this node itself made.
   void apply_own(const wire::Txn& t, Revision r);
+  // Ends that another controller has read: records of the state service like any other.
+  void apply_cancelled(const std::vector<wire::CancelledJob>& jobs);
 
  private:
   void load(std::string after);
@@ -52,7 +54,7 @@
   asio::steady_timer timer_;
   Revision revision_;
   Revision nudged_;
-  Instant word_{};
+  Instant as_of_{};
   std::vector<std::function<void(bool)>> waiting_, served_;
   Instant begun_{};  // the last read
   bool loaded_ = false;
--- a/src/store/view.cpp
+++ b/src/store/view.cpp
@@ -113,6 +113,7 @@
 void View::clear() {
   jobs_.clear();
   ends_.clear();
+  cancelled_.clear();
   parts_.clear();
   leader_ = {};
   alive_.clear();
@@ -133,11 +134,7 @@
     } else if (kind == "progress") {
       apply_job(JobId(std::string(split(rest).second)), c);
     } else if (kind == "ends") {
-      JobId id{std::string(rest)};
-      auto& slot = ends_[id];
-      update(slot, c, parse_ending);
-      if (!slot.exists()) ends_.erase(id);
-      touched_.jobs.insert(id);
+      apply_end(JobId(std::string(rest)), c);
     } else if (kind == "roles") {
       auto [role, name] = split(rest);
       if (role == "leader") {
@@ -162,6 +159,17 @@
   }
 }
 
+void View::apply_end(const JobId& id, const wire::Change& c) {
+  auto& slot = ends_[id];
+  auto entry = [&] { return wire::CancelledJob{slot.version, id, slot.value.done}; };
+  auto before = entry();
+  update(slot, c, parse_ending);
+  if (slot.version != before.revision) cancelled_.erase(before);
+  if (slot.exists() && slot.value.end == End::kCancelled) cancelled_.insert(entry());
+  if (!slot.exists()) ends_.erase(id);
+  touched_.jobs.insert(id);
+}
+
 void View::apply_job(const JobId& id, const wire::Change& c) {
   auto [kind, rest] = split(std::string_view(c.key).substr(kPrefix.size()));
   auto& job = jobs_[id];
--- a/src/store/view.h
+++ b/src/store/view.h
@@ -54,6 +54,8 @@
   const Job* job(const JobId& id) const;
   std::optional<End> end(const JobId& id) const;
   const Versioned<Ending>& ending(const JobId& id) const;
+  // All jobs that ended by being cancelled, the oldest first.
+  const std::set<wire::CancelledJob>& cancelled() const { return cancelled_; }
   const Versioned<Role>& leader() const { return leader_; }
   const Versioned<Role>& part_role(PartId part) const;
   bool alive(const NodeName& node) const;
@@ -62,10 +64,12 @@
 
  private:
   void apply_job(const JobId& id, const wire::Change& c);
+  void apply_end(const JobId& id, const wire::Change& c);
 
   std::map<JobId, Job>
       jobs_;  // also those known only by a grant or progress, until their job comes: see job()
   std::unordered_map<JobId, Versioned<Ending>> ends_;
+  std::set<wire::CancelledJob> cancelled_;  // of ends_
   std::map<PartId, Versioned<Role>> parts_;
   Versioned<Role> leader_;
   std::map<NodeName, Revision> alive_;
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -23,6 +23,9 @@
 
 struct Heartbeat {
   # The sender has told no user of a cancellation that is newer than this revision. 2^64-1: not known yet.
+  # Only for receivers of a version without `disclosure`: they take an echoed heartbeat as proof that they know
+  # all cancellations if this revision isn't above what they have read. So it covers the earlier processes of
+  # the sender too, and such a receiver needs no promise.
   toldRevision @0 :UInt64;
   # The sender answers no machine of this part under a term lower than the one given.
   terms @1 :List(PartTerm);
@@ -32,6 +35,31 @@
   echo @3 :UInt64;
   # The sender's own requests to the state service succeed.
   stateOk @4 :Bool;
+  # Absent in heartbeats of versions before it: their senders tell users of a cancellation without asking
+  # anybody, so such a heartbeat proves nothing beyond the time of what it echoes.
+  disclosure @5 :Disclosure;
+}
+
+# What the receiver may conclude about cancelled jobs that the sender has disclosed to users or will disclose.
+# The echo of a heartbeat acknowledges all that its `cancelled` holds.
+struct Disclosure {
+  # The sender has read the whole state service since it started, and discloses nothing before that.
+  ready @0 :Bool;
+  # The sender has read all changes up to this revision; 0 while it isn't ready.
+  readRevision @1 :UInt64;
+  # For so long after this was sent, the sender discloses no cancellation that the receiver hasn't acknowledged.
+  promiseMs @2 :UInt32;
+  # The receiver has all cancellations that the sender knows, once it has those in `cancelled`.
+  complete @3 :Bool;
+  # Cancellations that the receiver isn't known to have, the oldest first; a bounded number.
+  cancelled @4 :List(CancelledJob);
+}
+
+# The record of a job's end in the state service.
+struct CancelledJob {
+  job @0 :Text;
+  revision @1 :UInt64;
+  done @2 :UInt32;
 }
 
 struct PartTerm {
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -69,11 +69,36 @@
   return std::move(*r);
 }
 
+void put_disclosure(peer::Disclosure::Builder b, const Disclosure& d) {
+  b.setReady(d.ready);
+  b.setReadRevision(d.read_until.value());
+  b.setPromiseMs(static_cast<std::uint32_t>(d.promise.count()));
+  b.setComplete(d.complete);
+  auto list = b.initCancelled(d.cancelled.size());
+  for (std::size_t i = 0; i < d.cancelled.size(); ++i) {
+    list[i].setJob(d.cancelled[i].job.value());
+    list[i].setRevision(d.cancelled[i].revision.value());
+    list[i].setDone(d.cancelled[i].done);
+  }
+}
+
+Disclosure get_disclosure(peer::Disclosure::Reader r) {
+  Disclosure d;
+  d.ready = r.getReady();
+  d.read_until = Revision(r.getReadRevision());
+  d.promise = std::chrono::milliseconds(r.getPromiseMs());
+  d.complete = r.getComplete();
+  for (auto c : r.getCancelled())
+    d.cancelled.push_back({Revision(c.getRevision()), JobId(text(c.getJob())), c.getDone()});
+  return d;
+}
+
 PeerBody get_body(peer::Message::Reader m) {
   switch (m.which()) {
     case peer::Message::HEARTBEAT: {
       auto r = m.getHeartbeat();
-      Heartbeat h{Revision(r.getToldRevision()), {}, r.getSequence(), r.getEcho(), r.getStateOk()};
+      Heartbeat h{Revision(r.getToldRevision()), {}, r.getSequence(), r.getEcho(), r.getStateOk(), {}};
+      if (r.hasDisclosure()) h.disclosure = get_disclosure(r.getDisclosure());
       for (auto t : r.getTerms()) h.terms.push_back({PartId(t.getPart()), Term(t.getTerm())});
       return h;
     }
@@ -144,6 +169,7 @@
                    b.setSequence(h.sequence);
                    b.setEcho(h.echo);
                    b.setStateOk(h.state_ok);
+                   if (h.disclosure) put_disclosure(b.initDisclosure(), *h.disclosure);
                    auto list = b.initTerms(h.terms.size());
                    for (std::size_t i = 0; i < h.terms.size(); ++i) {
                      list[i].setPart(h.terms[i].part.value());
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -1,6 +1,7 @@
 // What controllers say to each other: Cap'n Proto messages and their plain forms.
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,12 +18,29 @@
   PartId part;
   Term term;
 };
+// A job's end as the state service records it. Ordered by revision.
+struct CancelledJob {
+  Revision revision;
+  JobId job;
+  std::uint32_t done = 0;  // tasks that had completed, for display
+  auto operator<=>(const CancelledJob&) const = default;
+};
+// What the receiver of a heartbeat may conclude about cancellations that its sender discloses to users; the
+// fields are explained in peer.capnp.
+struct Disclosure {
+  bool ready = false;
+  Revision read_until;
+  std::chrono::milliseconds promise{0};
+  bool complete = false;
+  std::vector<CancelledJob> cancelled;
+};
 struct Heartbeat {
   Revision told;
   std::vector<PartTerm> terms;
   std::uint64_t sequence = 0;
   std::uint64_t echo = 0;
   bool state_ok = false;
+  std::optional<Disclosure> disclosure;  // none: the sender is of a version without it
 };
 struct Nudge {
   Revision revision;
