--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -131,7 +131,7 @@
   revision_ = std::max(revision_, changes.revision);
   view_.complete_to(revision_);
   std::erase_if(own_drops_, [&](const auto& d) { return d.second <= revision_; });
-  word_ = begun;
+  as_of_ = begun;
   ready_ = true;
 }
 
@@ -229,4 +229,15 @@
   settle();
 }
 
+void Mirror::apply_cancelled(const std::vector<wire::CancelledJob>& jobs) {
+  bool any = false;
+  for (const auto& c : jobs) {
+    if (view_.ending(c.job).version >= c.revision) continue;
+    view_.apply({end_key(c.job), to_json(Ending{End::kCancelled, c.done}), c.revision});
+    any = true;
+  }
+  // While the view is being loaded it lacks roles as well, and nobody may act on that.
+  if (any && ready_) settle();
+}
+
 }  // namespace beaconsill::store
