--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -10,9 +10,7 @@
 constexpr Duration kTidyTick = std::chrono::seconds(1);
 constexpr std::size_t kMaxGrants = 8;
 constexpr double kValueShare = 0.9;  // of the limit for a value
-// During an outage, trying again at once would only use up the budget and, with a round before each grant, a
-// whole core.
-constexpr Duration kAgain = std::chrono::milliseconds(500);
+constexpr Duration kEndAgain = std::chrono::milliseconds(500);
 }  // namespace
 
 LeaderDuty::LeaderDuty(Context& ctx, PeersDuty& peers, WorkersDuty& workers)
@@ -152,8 +150,8 @@
 
 void LeaderDuty::rounds() {
   auto leader = still_leader();
+  if (!leader) return;
   auto now = ctx_.now();
-  if (!leader || now < rounds_again_) return;
   auto all = terms();
   std::set<PartId> reachable;
   for (const auto& [part, term] : all)
@@ -199,7 +197,6 @@
       peers_.broadcast(wire::Nudge{r.revision});
       return kick();
     }
-    if (!ctx_.store->available()) rounds_again_ = ctx_.now() + kAgain;
     // It may have been applied, or something else was: look before the next round.
     ctx_.mirror->sync([this, term, grants](bool) {
       if (lead_ && term == term_) lead_->on_granted(grants, std::nullopt, ctx_.now());
@@ -237,7 +234,8 @@
       peers_.broadcast(wire::Nudge{r.revision});
       return over();
     }
-    ends_again_ = ctx_.now() + kAgain;
+    // During an outage, trying again at once would only use up the budget.
+    ends_again_ = ctx_.now() + kEndAgain;
     ctx_.mirror->sync([over](bool) { over(); });
   });
 }
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -54,7 +54,6 @@
   std::unique_ptr<lead::Capacity> capacity_;
   std::set<JobId> ending_, tidying_;
   Instant ends_again_{};
-  Instant rounds_again_{};
   std::map<PartId, wire::Summary> summaries_;  // also while another leads
   bool read_ = false;
   bool reading_ = false;
