Every answer that tells of a cancellation counts as told

Cause: the answer to a repeated submission names the job's state, but its revision wasn't passed on to the peers.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -62,6 +62,12 @@
   return hooks_.running(id) > 0 ? wire::JobState::kRunning : wire::JobState::kQueued;
 }
 
+// A repeated submission tells of a cancellation as well: the peers have to know that it was told.
+Response Api::accepted(const JobId& id, wire::JobState s) const {
+  if (s == wire::JobState::kCancelled) hooks_.told(mirror_->view().ending(id).version);
+  return {200, wire::render_accepted(id, s)};
+}
+
 Response Api::known(const JobId& id, wire::JobState s) const {
   const auto& view = mirror_->view();
   if (s == wire::JobState::kCancelled) hooks_.told(view.ending(id).version);
@@ -89,7 +95,7 @@
   if (!mirror_->ready()) return reply(later("starting"));
   JobId id = spec.id;
   auto answer_known = [this, id, reply](bool fresh) {
-    if (auto s = state(id); fresh && s) return reply({200, wire::render_accepted(id, *s)});
+    if (auto s = state(id); fresh && s) return reply(accepted(id, *s));
     reply(later("state not known"));
   };
   // What was accepted once is never judged again.
@@ -102,7 +108,7 @@
     // Another node may have accepted it, before the catalogue changed say: only what was read can tell.
     return mirror_->sync([this, id, verdict, reply](bool fresh) {
       if (!fresh) return reply(later("state service not reachable"));
-      if (auto s = state(id)) return reply({200, wire::render_accepted(id, *s)});
+      if (auto s = state(id)) return reply(accepted(id, *s));
       if (verdict.kind == Verdict::Kind::kNever) return reply({422, wire::render_error(verdict.reason)});
       reply(later(verdict.reason, 5));
     });
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -37,6 +37,7 @@
   // The job's state as the view has it; none if it isn't known.
   std::optional<wire::JobState> state(const JobId& id) const;
   net::Response known(const JobId& id, wire::JobState s) const;
+  net::Response accepted(const JobId& id, wire::JobState s) const;
   bool overloaded() const;
 
   const Clock& clock_;
--- a/tests/controller_meetings_node_test.cpp
+++ b/tests/controller_meetings_node_test.cpp
@@ -357,6 +357,42 @@
   }
 }
 
+// Whoever tells a user of a cancellation has to say so to the peers, or their word of cancellations would
+// miss it: also by the answer to a repeated submission, be it known before or found by a read, and whatever
+// would be said of the job today.
+TEST(Meetings, EveryAnswerThatTellsOfACancellationCounts) {
+  struct Case {
+    const char* what;
+    const char* method;
+    const char* path;
+    bool known_before;
+    bool fits;
+  };
+  const Case cases[] = {
+      {"question", "GET", "/v1/jobs/run-000001", false, true},
+      {"cancellation", "POST", "/v1/jobs/run-000001/withdraw", true, true},
+      {"submission", "POST", "/v1/jobs", true, true},
+      {"submission of a job that isn't read yet", "POST", "/v1/jobs", false, true},
+      {"submission of what would be refused now", "POST", "/v1/jobs", false, false},
+  };
+  for (const auto& c : cases) {
+    Users u;
+    ASSERT_TRUE(u.ready);
+    if (!c.fits) u.types.clear();
+    u.state.set(store::job_key(kJob), Viewer::record("run-000001"));
+    u.state.set(store::end_key(kJob), store::to_json(store::Ending{store::End::kCancelled, 0}));
+    auto end = u.state.revision();
+    if (c.known_before) {
+      ASSERT_TRUE(u.read_to(end));
+    }
+    auto body = std::string_view(c.path) == "/v1/jobs" ? job("run-000001", "standard") : "";
+    auto answer = u.send(c.method, c.path, body);
+    ASSERT_TRUE(u.run_until([&] { return answer->has_value(); })) << c.what;
+    EXPECT_EQ(u.bearing(**answer), "withdrawn") << c.what;
+    EXPECT_EQ(u.told, Revision(end)) << c.what;
+  }
+}
+
 // A cancellation is carried out at once and only its answer is lost: the user is told once it was read back,
 // and so are the other controllers.
 TEST(Meetings, ACancellationWhoseAnswerIsLost) {
