Users' endpoints reach the state service through two interfaces

api::Api took the store's client and mirror, which hold sockets, so a simulation could only run a copy of its logic. store/access.h now holds what it needs of them (transactions; a view that can be brought up to date); StoreClient and Mirror implement it. No change of behaviour.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-Api::Api(const Clock& clock, const config::Settings& settings, std::shared_ptr<store::StoreClient> store,
-         std::shared_ptr<store::Mirror> mirror, Hooks hooks)
+Api::Api(const Clock& clock, const config::Settings& settings, std::shared_ptr<store::TxnSink> store,
+         std::shared_ptr<store::ViewSource> mirror, Hooks hooks)
     : clock_(clock),
       settings_(settings),
       store_(std::move(store)),
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -7,7 +7,7 @@
 
 #include "api/admission.h"
 #include "net/http_server.h"
-#include "store/mirror.h"
+#include "store/access.h"
 
 namespace beaconsill::api {
 
@@ -22,8 +22,8 @@
     std::function<std::uint32_t(const JobId&)> running;
     std::function<bool()> healthy;
   };
-  Api(const Clock& clock, const config::Settings& settings, std::shared_ptr<store::StoreClient> store,
-      std::shared_ptr<store::Mirror> mirror, Hooks hooks);
+  Api(const Clock& clock, const config::Settings& settings, std::shared_ptr<store::TxnSink> store,
+      std::shared_ptr<store::ViewSource> mirror, Hooks hooks);
 
   // Whether the path is one of the users'.
   static bool is_user_path(const std::string& path);
@@ -41,8 +41,8 @@
 
   const Clock& clock_;
   const config::Settings& settings_;
-  std::shared_ptr<store::StoreClient> store_;
-  std::shared_ptr<store::Mirror> mirror_;
+  std::shared_ptr<store::TxnSink> store_;
+  std::shared_ptr<store::ViewSource> mirror_;
   Hooks hooks_;
 };
 
--- /dev/null
+++ b/src/store/access.h
@@ -0,0 +1,49 @@
+// What the users' endpoints need of the state service, as interfaces: they run in tests without sockets.
+#pragma once
+
+#include <functional>
+
+#include "store/view.h"
+#include "wire/store.h"
+
+namespace beaconsill::store {
+
+enum class Urgency { kRole, kUser, kWork, kTidy };
+constexpr std::size_t kUrgencies = 4;
+
+enum class Outcome {
+  kOk,
+  kConflict,  // 409: nothing was changed
+  kRefused,   // not executed: an outage, a limit, or no time to send it
+  kUnknown,   // no answer: it may have been executed, or may still be
+  kBad,       // 400, 404, 410 or an answer that makes no sense
+};
+
+struct TxnResult {
+  Outcome outcome = Outcome::kRefused;
+  Revision revision;
+};
+
+// Carries out transactions.
+class TxnSink {
+ public:
+  virtual ~TxnSink() = default;
+  virtual void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done) = 0;
+  // How long a change of this urgency would wait now: what overload is judged by.
+  virtual Duration write_wait(Urgency u) const = 0;
+};
+
+// A view of the state service's content that can be brought up to date.
+class ViewSource {
+ public:
+  virtual ~ViewSource() = default;
+  virtual const View& view() const = 0;
+  // Everything was read since the process began.
+  virtual bool ready() const = 0;
+  // Calls back once the view holds all that was written before this call; false: could not be read.
+  virtual void sync(std::function<void(bool)> done) = 0;
+  // A change that this node itself made.
+  virtual void apply_own(const wire::Txn& t, Revision r) = 0;
+};
+
+}  // namespace beaconsill::store
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -8,26 +8,12 @@
 #include <memory>
 
 #include "net/http_client.h"
+#include "store/access.h"
 #include "store/budget.h"
 #include "wire/store.h"
 
 namespace beaconsill::store {
 
-enum class Urgency { kRole, kUser, kWork, kTidy };
-constexpr std::size_t kUrgencies = 4;
-
-enum class Outcome {
-  kOk,
-  kConflict,  // 409: nothing was changed
-  kRefused,   // not executed: an outage, a limit, or no time to send it
-  kUnknown,   // no answer: it may have been executed, or may still be
-  kBad,       // 400, 404, 410 or an answer that makes no sense
-};
-
-struct TxnResult {
-  Outcome outcome = Outcome::kRefused;
-  Revision revision;
-};
 struct ReadResult {
   Outcome outcome = Outcome::kRefused;
   int status = 0;
@@ -39,12 +25,12 @@
   double write_rps = 0;
 };
 
-class StoreClient : public std::enable_shared_from_this<StoreClient> {
+class StoreClient : public TxnSink, public std::enable_shared_from_this<StoreClient> {
  public:
   StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
               double share);
 
-  void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done);
+  void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done) override;
   void get(std::string target, Urgency u, std::function<void(ReadResult)> done);
   void hold(std::uint32_t ttl_ms, std::function<void(ReadResult)> done);
   void renew(HoldId id, std::function<void(ReadResult)> done);
@@ -56,8 +42,7 @@
   Duration fair_gap() const { return from_seconds(2 / std::max(1.0, limits_.rps * request_share_)); }
   // How many changes could be made now with half of a second's worth left for what is more urgent.
   std::size_t spare_writes() const;
-  // How long a change of this urgency would wait now: what overload is judged by.
-  Duration write_wait(Urgency u) const;
+  Duration write_wait(Urgency u) const override;
   void stop();
 
  private:
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -12,7 +12,7 @@
 
 namespace beaconsill::store {
 
-class Mirror : public std::enable_shared_from_this<Mirror> {
+class Mirror : public ViewSource, public std::enable_shared_from_this<Mirror> {
  public:
   // `on_change` is called after changes were applied, with what they touched.
   Mirror(asio::io_context& io, const Clock& clock, std::shared_ptr<StoreClient> client, Duration period,
@@ -20,19 +20,17 @@
   void start();
   void stop();
 
-  const View& view() const { return view_; }
-  bool ready() const { return ready_; }
+  const View& view() const override { return view_; }
+  bool ready() const override { return ready_; }
   Revision revision() const { return revision_; }
   // The view holds all changes that were made before this time.
   Instant word() const { return word_; }
 
-  // Calls back once the view holds all that was written before this call; false: could not be read.
   // Calls while a read is under way share the next one.
-  void sync(std::function<void(bool)> done);
+  void sync(std::function<void(bool)> done) override;
   // Somebody wrote this revision: look soon unless it's known.
   void nudge(Revision r);
-  // A change that this node itself made.
-  void apply_own(const wire::Txn& t, Revision r);
+  void apply_own(const wire::Txn& t, Revision r) override;
 
  private:
   void load(std::string after);
