--- a/tests/sim/books.h
+++ b/tests/sim/books.h
@@ -18,6 +18,8 @@
   bool running = false;
   bool ended = false;
   wire::EndCause cause = wire::EndCause::kDone;
+  // From the image to the end it's on its machine, also if that hangs.
+  bool on_machine() const { return running && !ended; }
 };
 
 struct Machine {
@@ -26,6 +28,7 @@
   bool gone = false;
   double hangs_until = 0;  // does nothing
   double deaf_until = 0;   // reports, but neither answers nor commands arrive
+  double mute_until = 0;   // commands arrive, but it reaches no controller
   std::uint64_t session = 1;
   std::uint64_t sequence = 0;
   std::uint64_t token = 0;
@@ -40,6 +43,7 @@
   std::optional<double> run_s;  // of each task; none: drawn
   double submitted = 0;
   bool accepted = false;
+  bool cancel_asked = false;
   std::optional<double> cancelled;  // when its user was told
   std::set<std::uint32_t> done;     // tasks that completed, as the workers know
 };
@@ -53,6 +57,16 @@
     auto it = machines.find(name);
     return it == machines.end() || it->second.gone ? nullptr : &it->second;
   }
+  // Calls `f(machine, key, task)` for all tasks of the job on machines that are there.
+  template <class F>
+  void each_task(const JobId& id, F f) const {
+    for (const auto& [name, m] : machines) {
+      if (m.gone) continue;
+      for (auto t = m.tasks.lower_bound({TaskId{id, 0}, Attempt()});
+           t != m.tasks.end() && t->first.first.job == id; ++t)
+        f(m, t->first, t->second);
+    }
+  }
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/clock.h
+++ b/tests/sim/clock.h
@@ -20,6 +20,8 @@
   WallMs wall() const { return WallMs(static_cast<std::int64_t>(now_ * 1000)); }
 
   std::uint64_t draw() { return rng_(); }
+  // From 0 to n - 1.
+  int draw_below(int n) { return static_cast<int>(draw() % static_cast<std::uint64_t>(n)); }
   double uniform(double a, double b) { return a + (b - a) * static_cast<double>(draw() % 100000) / 100000; }
   bool chance(double p) { return uniform(0, 1) < p; }
   // Whether a rare mishap of a single message comes about. Never if the schedule is without noise.
@@ -51,4 +53,22 @@
   std::multimap<double, std::function<void()>> events_;
 };
 
+// The service's own interface to the clocks.
+class ServiceClock : public Clock {
+ public:
+  explicit ServiceClock(const EventQueue& queue) : queue_(queue) {}
+  Instant now() const override { return queue_.instant(); }
+  WallMs wall() const override { return queue_.wall(); }
+
+ private:
+  const EventQueue& queue_;
+};
+
+// For a while, a share of messages of some kind meets with something.
+struct Window {
+  double until = 0;
+  double share = 0;
+  bool hits(EventQueue& queue) const { return queue.now() < until && queue.chance(share); }
+};
+
 }  // namespace beaconsill::sim
--- a/tests/sim/cloud.cpp
+++ b/tests/sim/cloud.cpp
@@ -1,6 +1,6 @@
 #include "sim/cloud.h"
 
-#include <vector>
+#include "sim/topology.h"
 
 namespace beaconsill::sim {
 
@@ -9,9 +9,9 @@
   MachineName name("host-" + std::to_string(i));
   auto& m = books_.machines[name];
   m.name = name;
-  m.zone = std::vector{Zone("east"), Zone("west"), Zone("north")}[static_cast<std::size_t>(i) % 3];
+  m.zone = zones()[static_cast<std::size_t>(i) % zones().size()];
   m.lease_from = queue_.now();
-  m.node = i % 3;
+  m.node = i % kControllers;
   on_added_(name);
 }
 
@@ -20,7 +20,8 @@
   if (!x) return;
   x->gone = true;
   x->tasks.clear();
-  queue_.after(queue_.uniform(3, 10), [this] { add_machine(); });
+  double boot = queue_.now() < quick_until_ ? queue_.uniform(0.2, 2) : queue_.uniform(3, 10);
+  queue_.after(boot, [this] { add_machine(); });
 }
 
 void Cloud::remove(const MachineName& m, std::function<void(bool)> answer) {
--- a/tests/sim/cloud.h
+++ b/tests/sim/cloud.h
@@ -19,12 +19,15 @@
   void kill(const MachineName& m);
   // A request for deletion. `answer` gets whether the cloud said that it was carried out.
   void remove(const MachineName& m, std::function<void(bool)> answer);
+  // Until then new machines are up within two seconds.
+  void boot_quickly(double until) { quick_until_ = until; }
 
  private:
   EventQueue& queue_;
   Books& books_;
   std::function<void(const MachineName&)> on_added_;
   int next_ = 0;
+  double quick_until_ = 0;
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/controller.cpp
+++ b/tests/sim/controller.cpp
@@ -3,84 +3,102 @@
 namespace beaconsill::sim {
 namespace {
 constexpr double kTick = 0.1;
-constexpr double kBeat = 0.5;
+constexpr double kHoldRenewal = 0.5;
+constexpr double kHeartbeat = 0.5;
+constexpr double kSummaryPeriod = 5;
 constexpr double kReadPeriod = 0.4;
 }  // namespace
 
 void Controller::start() {
-  p_ = Process{};
   env_.network.start(n_);
-  env_.state.forget_hold(n_);
-  tick();
-  beat();
-  sync([](bool) {});
+  p_ = Process{};
+  auto m = env_.options.mistake;
+  p_.mirror = std::make_shared<Mirror>(n_, env_.queue, env_.state, m,
+                                       [this](const store::View::Touched& t) { on_view(t); });
+  p_.endpoint_view = std::make_shared<EndpointView>(p_.mirror, m);
+  p_.heartbeats = std::make_unique<Heartbeats>(n_, env_.queue.wall());
+  p_.ticked = now();
+  p_.api = std::make_unique<api::Api>(
+      clock_, env_.settings, std::make_shared<Transactions>(n_, env_.state), p_.endpoint_view,
+      api::Api::Hooks{
+          [this] { return env_.catalogue.get(); },
+          [this](Revision) { broadcast([](Controller& c) { c.p_.mirror->sync([](bool) {}); }); },
+          [this](Revision r) { p_.told = std::max(p_.told, r); },
+          [this](const JobId& id) { return running(id); },
+          [] { return true; },
+      });
+  every(kTick, &Controller::tick);
+  every(kHoldRenewal, &Controller::renew_hold);
+  every(kHeartbeat, &Controller::send_heartbeats);
+  every(kSummaryPeriod, &Controller::send_summaries);
+  p_.mirror->sync([](bool) {});
 }
 
 void Controller::crash(double back_s) {
   if (!env_.network.up(n_)) return;
-  p_ = Process{};
   env_.network.stop(n_);
+  p_ = Process{};
   env_.queue.after(back_s, [this] {
     if (!env_.network.up(n_)) start();
   });
 }
 
-// Keeps its liveness key while its hold lasts; the stand-in of the state service drops it.
-void Controller::beat() {
-  env_.network.later(n_, kBeat, [this] { beat(); });
+void Controller::every(double period, void (Controller::*work)()) {
+  (this->*work)();
+  env_.network.later(n_, period, Await::kTimer, [this, period, work] { every(period, work); });
+}
+
+void Controller::send(int to, std::function<void(Controller&)> f) {
+  env_.network.peer(n_, to, [this, to, f = std::move(f)] { f(env_.controller(to)); });
+}
+
+void Controller::broadcast(const std::function<void(Controller&)>& f) {
+  for (int to = 0; to < kControllers; ++to)
+    if (to != n_) send(to, f);
+}
+
+void Controller::renew_hold() {
   env_.state.renew(n_, store::alive_key(name()));
 }
 
 void Controller::tick() {
-  env_.network.later(n_, kTick, [this] { tick(); });
-  if (now() - p_.word > kReadPeriod && !p_.syncing) sync([](bool) {});
+  if (now() - p_.mirror->word_s() > kReadPeriod && !p_.mirror->reading()) p_.mirror->sync([](bool) {});
   roles();
   if (p_.lead && !p_.lead_read) read_ledger();
-  std::vector<PartId> ids;
-  for (auto& [id, o] : p_.parts) ids.push_back(id);
-  for (auto id : ids) tick_part(id);
+  tick_parts();
   tick_lead();
+  p_.ticked = now();
 }
 
-void Controller::sync(std::function<void(bool)> done) {
-  p_.waiting.push_back(std::move(done));
-  if (p_.syncing) return;
-  p_.syncing = true;
-  auto served = std::make_shared<std::vector<std::function<void(bool)>>>(std::move(p_.waiting));
-  p_.waiting.clear();
-  double begun = now();
-  auto finish = [this, served](bool ok) {
-    p_.syncing = false;
-    if (ok) on_view();
-    for (auto& f : *served) f(ok);
-    if (!p_.syncing && !p_.waiting.empty()) sync([](bool) {});
-  };
-  if (!env_.state.answers(n_)) return env_.network.later(n_, 0.05, [finish] { finish(false); });
-  env_.state.read(n_, [this, begun, finish](std::size_t upto) {
-    for (; p_.known < upto; ++p_.known) p_.view.apply(env_.state.log()[p_.known]);
-    p_.word = begun;
-    p_.ready = true;
-    finish(true);
-  });
-}
-
-void Controller::apply_own(const wire::Txn& t, Revision r) {
-  for (const auto& w : t.writes) p_.view.apply({w.key, w.value, r});
-  on_view();
-}
-
-void Controller::on_view() {
-  auto touched = p_.view.take_touched();
+void Controller::on_view(const store::View::Touched& t) {
   for (auto& [id, o] : p_.parts) {
-    if (o.read && touched.machines.contains(id)) load_registry(id);
-    for (const auto& j : touched.jobs) show(*o.part, j);
+    if (o.read && t.machines.contains(id)) load_registry(id);
+    for (const auto& j : t.jobs) show(*o.part, j);
   }
   if (p_.lead) {
-    auto jobs = touched.jobs;
-    for (auto& j : p_.lead->on_terms(terms())) jobs.insert(j);
-    for (const auto& j : jobs) p_.lead->on_job(j, p_.view.job(j), p_.view.end(j), instant());
+    auto jobs = t.jobs;
+    if (t.roles)
+      for (auto& j : p_.lead->on_terms(terms())) jobs.insert(j);
+    show_leader(jobs);
   }
-  if (touched.roles) roles();
+  if (t.roles) roles();
+}
+
+void Controller::on_user(const net::Request& r, net::HttpServer::Reply reply) {
+  if (mistake(Mistake::kKnownJudgedAgain) && r.method == "POST" && r.path == "/v1/jobs") {
+    auto id = JobId(wire::parse_object(r.body).value("ref", ""));
+    if (view().job(id)) return reply({422, "{}", std::nullopt});
+  }
+  if (mistake(Mistake::kKnownUnread) && r.method == "GET") {
+    JobId id(r.path.substr(r.path.rfind('/') + 1));
+    if (view().job(id) && !view().end(id))
+      return reply({200, wire::render_status(id, wire::JobState::kQueued, 0, 0), std::nullopt});
+  }
+  if (!mistake(Mistake::kInventsJobs)) return p_.api->handle(r, std::move(reply));
+  p_.api->handle(r, [reply](net::Response x) {
+    if (x.status == 404) x = {200, wire::render_status(JobId("run-0"), wire::JobState::kQueued, 0, 0)};
+    reply(std::move(x));
+  });
 }
 
 }  // namespace beaconsill::sim
--- a/tests/sim/controller.h
+++ b/tests/sim/controller.h
@@ -1,19 +1,22 @@
-// One controller: the pure state machines of `part` and `lead` and the view of `store`, wired to stand-ins as
-// `node` wires them to sockets. What it knows lasts for one life of its process.
+// One controller: the pure state machines of `part` and `lead`, the view of `store` and the users' endpoints
+// of `api`, wired to stand-ins as `node` wires them to sockets. What it knows lasts for one life of its
+// process.
 #pragma once
 
 #include <memory>
 
+#include "api/api.h"
 #include "lead/lead.h"
 #include "part/part.h"
 #include "sim/environment.h"
-#include "store/view.h"
+#include "sim/heartbeats.h"
+#include "sim/mirror.h"
 
 namespace beaconsill::sim {
 
 class Controller {
  public:
-  Controller(int number, Environment& env) : n_(number), env_(env) {}
+  Controller(int number, Environment& env) : n_(number), env_(env), clock_(env.queue) {}
 
   // A new process begins.
   void start();
@@ -21,22 +24,17 @@
   void crash(double back_s);
 
   // Whether the state service was read since the process began.
-  bool ready() const { return p_.ready; }
-  const store::View& view() const { return p_.view; }
-  // Calls back once the view holds all that was written before this call; false: could not be read.
-  void sync(std::function<void(bool)> done);
-  // A transaction of this controller's own; it enters the view once it's carried out.
-  void apply_own(const wire::Txn& t, Revision r);
-  ReportReply on_report(const wire::Report& r);
-
-  // ---- Users
-  // Status of HTTP, and the job's state where the answer has one.
-  using UserReply = std::function<void(int, std::optional<wire::JobState>)>;
-  void submit(const wire::JobSpec& spec, UserReply reply);
-  void status(const JobId& id, UserReply reply);
-  void cancel(const JobId& id, UserReply reply);
-  // Tasks of the job that run in this controller's parts.
-  std::uint32_t running(const JobId& id) const;
+  bool ready() const { return p_.mirror && p_.mirror->ready(); }
+  const store::View& view() const { return p_.mirror->view(); }
+  bool leads() const { return p_.lead != nullptr; }
+  // The parts that this process owns, none of which it knows to have lost.
+  std::vector<wire::PartTerm> owned() const;
+  // Null unless it owns the part.
+  const part::Part* part(PartId id) const;
+
+  // ---- What comes in
+  void on_user(const net::Request& r, net::HttpServer::Reply reply);
+  void on_report(const wire::Report& r, const Workers::Reply& reply);
 
  private:
   struct Owned {
@@ -46,58 +44,91 @@
     bool writing = false;
     bool registering = false;
     double tell_all = 0;
+    Term told;  // leader's
     std::map<JobId, double> unwritten;
   };
+  struct RoleState {
+    std::optional<Term> held;  // by this process
+    bool claiming = false;
+    std::optional<double> vacant_since;
+    std::optional<double> home_since;  // away from its home, which is alive
+  };
+  struct Relayed {
+    PartId part;
+    Workers::Reply reply;
+  };
   struct Process {
-    store::View view;
-    std::size_t known = 0;  // entries of the state service's log that were read
-    double word = -100;     // all cancellations told before this time are known
-    bool ready = false;
-    bool syncing = false;
-    std::vector<std::function<void(bool)>> waiting;
+    std::shared_ptr<Mirror> mirror;
+    std::shared_ptr<EndpointView> endpoint_view;
+    std::unique_ptr<api::Api> api;
+    std::unique_ptr<Heartbeats> heartbeats;
+    Revision told;  // highest revision of a cancellation that a user was told of
+    double ticked = 0;
     std::map<PartId, Owned> parts;
-    std::map<std::string, Term> held;
-    std::map<std::string, double> vacant, away;
-    std::set<std::string> claiming;
+    std::map<std::string, RoleState> roles;
     std::unique_ptr<lead::Lead> lead;
     Term lead_term;
     bool lead_read = false;
     std::set<JobId> ending;
+    std::map<PartId, wire::Summary> summaries;
+    std::map<std::uint64_t, Relayed> relayed;
+    std::uint64_t next_relay = 0;
   };
-  using Result = StateService::Result;
 
   double now() const { return env_.queue.now(); }
   Instant instant() const { return env_.queue.instant(); }
   bool mistake(Mistake m) const { return env_.options.mistake == m; }
-  NodeName name() const { return Environment::name(n_); }
+  NodeName name() const { return node_name(n_); }
+  void every(double period, void (Controller::*work)());
+  // Runs at the other controller when the message arrives there.
+  void send(int to, std::function<void(Controller&)> f);
+  void broadcast(const std::function<void(Controller&)>& f);
 
   void tick();
-  void beat();
-  void on_view();
+  void renew_hold();
+  void on_view(const store::View::Touched& t);
+
+  // Other controllers (controller_peers.cpp)
+  void send_heartbeats();
+  wire::Heartbeat heartbeat(int to);
+  void on_heartbeat(int from, const wire::Heartbeat& h);
+  Instant word() const;
+  void send_summaries();
+  void on_summary(const wire::Summary& s);
+  std::optional<int> owner_of(PartId id) const;
+  void relay(PartId id, const wire::Report& r, const Workers::Reply& reply);
+  void on_relay(int from, std::uint64_t id, const wire::Report& r);
+  void on_relayed(std::uint64_t id, const ReportReply& r);
 
   // Roles (controller_roles.cpp)
   void roles();
-  void role(const std::string& key, store::Versioned<store::Role> r, std::optional<PartId> part);
-  bool keep_role(const std::string& key, const store::Versioned<store::Role>& r, std::optional<PartId> part);
-  void claim(const std::string& key, store::Versioned<store::Role> r, std::optional<PartId> part,
-             NodeName to);
+  void role(const std::string& key, const store::Versioned<store::Role>& r, std::optional<PartId> part);
+  void lose(RoleState& s, std::optional<PartId> part);
+  void keep_or_hand_back(RoleState& s, const std::string& key, const store::Versioned<store::Role>& r,
+                         PartId part);
+  int rank(std::optional<PartId> part) const;
+  void claim(const std::string& key, const store::Versioned<store::Role>& r, std::optional<PartId> part);
+  void hand_back(const std::string& key, const store::Versioned<store::Role>& r, PartId part);
   std::map<PartId, Term> terms() const;
 
   // Parts (controller_parts.cpp)
   void own(PartId id, Term term);
-  Owned* owned(PartId id, Term term);
+  Owned* find(PartId id, Term term);
   void show(part::Part& part, const JobId& job);
   void load_registry(PartId id);
+  void tick_parts();
   void tick_part(PartId id);
   void read_registry(PartId id, Owned& o);
-  void tell_outcomes(PartId id, Owned& o);
-  void write(PartId id, Term term, wire::Txn t, bool Owned::*flag);
+  void tell_leader(PartId id, Owned& o);
+  void write(PartId id, Term term, const wire::Txn& t, bool Owned::*flag);
   void write_registry(PartId id, Owned& o);
   void write_progress(PartId id, Owned& o);
-  void send(PartId id, Term term, const part::Part::Batch& b);
+  ReportReply answer(Owned& o, PartId id, const wire::Report& r);
+  void command(PartId id, Term term, const part::Part::Batch& b);
   void remove(PartId id, Term term, const MachineName& m);
   void on_deleted(const MachineName& m);
   void on_ask(int leader, const wire::Ask& ask);
+  std::uint32_t running(const JobId& id) const;
 
   // Leader (controller_lead.cpp)
   void lead(Term term);
@@ -106,16 +137,13 @@
   void write_grants(const std::vector<lead::Lead::Grant>& grants);
   void write_ends();
   void tidy();
+  void show_leader(const std::set<JobId>& jobs);
   void on_outcomes(const wire::Outcomes& o);
   void on_answer(const wire::Answer& a);
 
-  // Users (controller_api.cpp)
-  std::optional<wire::JobState> state(const JobId& id) const;
-  void answer_known(const JobId& id, bool fresh, const UserReply& reply);
-  void write_cancellation(const JobId& id, UserReply reply);
-
   int n_;
   Environment& env_;
+  ServiceClock clock_;
   Process p_;
 };
 
--- a/tests/sim/controller_parts.cpp
+++ b/tests/sim/controller_parts.cpp
@@ -1,13 +1,15 @@
-// The owner of parts: reports, commands, and what it records.
+// The owner of parts: reports, commands, and what it records, as `node::WorkersDuty` does.
 #include "sim/controller.h"
 
 namespace beaconsill::sim {
 namespace {
+constexpr double kStoodStill = 1;
 constexpr double kTellAllPeriod = 2;
-constexpr double kProgressDelay = 10;
+constexpr double kProgressDelay = 1;
+constexpr double kProgressDelayTold = 20;
 constexpr double kReturnedDelay = 2;
 constexpr double kGrace = 5;
-constexpr double kCancelMargin = 3;
+constexpr double kCancelMargin = 1;
 }  // namespace
 
 void Controller::own(PartId id, Term term) {
@@ -20,31 +22,49 @@
   o = {};
   o.part = std::make_unique<part::Part>(id, term, p, instant());
   o.part->set_catalogue(env_.catalogue);
-  for (const auto& [j, record] : p_.view.jobs()) show(*o.part, j);
+  for (const auto& [j, record] : view().jobs()) show(*o.part, j);
   ++env_.outcome.takeovers;
 }
 
-Controller::Owned* Controller::owned(PartId id, Term term) {
+Controller::Owned* Controller::find(PartId id, Term term) {
   auto it = p_.parts.find(id);
   return it == p_.parts.end() || it->second.part->term() != term ? nullptr : &it->second;
 }
 
+const part::Part* Controller::part(PartId id) const {
+  auto it = p_.parts.find(id);
+  return it == p_.parts.end() ? nullptr : it->second.part.get();
+}
+
+std::vector<wire::PartTerm> Controller::owned() const {
+  std::vector<wire::PartTerm> out;
+  for (const auto& [id, o] : p_.parts)
+    if (!o.part->superseded()) out.push_back({id, o.part->term()});
+  return out;
+}
+
 void Controller::show(part::Part& part, const JobId& job) {
-  auto end = p_.view.end(job);
+  auto end = view().end(job);
   if (mistake(Mistake::kCancellationUnseen) && end == store::End::kCancelled) end.reset();
-  part.on_job(job, p_.view.job(job), end, instant());
+  part.on_job(job, view().job(job), end, instant());
 }
 
+// Tasks of the job that run, by what this controller knows.
 std::uint32_t Controller::running(const JobId& id) const {
   std::uint32_t n = 0;
   for (const auto& [part, o] : p_.parts) n += o.part->running(id);
+  for (const auto& [part, s] : p_.summaries) {
+    if (p_.parts.contains(part)) continue;
+    for (const auto& c : s.running)
+      if (c.job == id) n += c.running;
+  }
   return n;
 }
 
 void Controller::load_registry(PartId id) {
   std::vector<store::MachineRecord> all;
   for (std::uint32_t b = 0; b < store::kMachineBuckets; ++b) {
-    const auto& v = p_.view.machines(id, b).value;
+    const auto& v = view().machines(id, b).value;
     all.insert(all.end(), v.begin(), v.end());
   }
   auto& part = *p_.parts.at(id).part;
@@ -56,8 +76,8 @@
 void Controller::read_registry(PartId id, Owned& o) {
   if (o.read || o.reading) return;
   o.reading = true;
-  sync([this, id, term = o.part->term()](bool ok) {
-    auto* x = owned(id, term);
+  p_.mirror->sync([this, id, term = o.part->term()](bool ok) {
+    auto* x = find(id, term);
     if (!x) return;
     x->reading = false;
     if (!ok) return;
@@ -66,75 +86,88 @@
   });
 }
 
+void Controller::tick_parts() {
+  if (now() - p_.ticked > kStoodStill)
+    for (auto& [id, o] : p_.parts) o.part->on_stood_still(instant());
+  std::vector<PartId> ids;
+  for (auto& [id, o] : p_.parts) ids.push_back(id);
+  for (auto id : ids) tick_part(id);
+}
+
 void Controller::tick_part(PartId id) {
   auto& o = p_.parts.at(id);
   auto term = o.part->term();
   read_registry(id, o);
-  o.part->tick(instant(), EventQueue::instant(p_.word), EventQueue::instant(p_.word));
-  for (auto& b : o.part->take_batches(instant())) send(id, term, b);
+  o.part->tick(instant(), word(), p_.mirror->word());
+  for (auto& b : o.part->take_batches(instant())) command(id, term, b);
+  tell_leader(id, o);
   write_registry(id, o);
   write_progress(id, o);
   for (auto& m : o.part->take_deletions(instant())) remove(id, term, m);
-  if (!o.part->superseded()) tell_outcomes(id, o);
 }
 
-void Controller::tell_outcomes(PartId id, Owned& o) {
-  bool all = now() >= o.tell_all;
-  if (all) o.tell_all = now() + kTellAllPeriod;
+void Controller::tell_leader(PartId id, Owned& o) {
+  const auto& leader = view().leader();
+  if (o.part->superseded() || !leader.exists()) return;
+  bool all = now() >= o.tell_all || o.told != leader.value.term;
+  if (all) {
+    o.tell_all = now() + kTellAllPeriod;
+    o.told = leader.value.term;
+  }
   auto jobs = o.part->outcomes(all);
   if (mistake(Mistake::kReturnsUntold))
     for (auto& j : jobs) j.returned.clear();
   if (jobs.empty()) return;
   wire::Outcomes outcomes{id, o.part->term(), std::move(jobs)};
-  for (int to = 0; to < kControllers; ++to)
-    env_.network.peer(n_, to, [this, to, outcomes] { env_.controller(to).on_outcomes(outcomes); });
+  send(node_number(leader.value.node), [outcomes](Controller& c) { c.on_outcomes(outcomes); });
 }
 
 void Controller::on_ask(int leader, const wire::Ask& ask) {
   for (auto& [id, o] : p_.parts) {
-    Revision seen = p_.known ? env_.state.log()[p_.known - 1].version : Revision();
-    wire::Answer a{ask.round, id, o.part->term(), seen, {}};
+    wire::Answer a{ask.round, id, o.part->term(), p_.mirror->revision(), {}};
     for (const auto& s : ask.shapes) a.rooms.push_back(o.part->estimate(s, instant()));
-    env_.network.peer(n_, leader, [this, leader, a] { env_.controller(leader).on_answer(a); });
+    send(leader, [a](Controller& c) { c.on_answer(a); });
   }
 }
 
-void Controller::write(PartId id, Term term, wire::Txn t, bool Owned::*flag) {
-  owned(id, term)->*flag = true;
-  env_.state.txn(n_, t, [this, id, term, t, flag](Result r, Revision rev) {
-    if (r == Result::kOk) {
-      if (auto* o = owned(id, term)) o->*flag = false;
-      return apply_own(t, rev);
+void Controller::write(PartId id, Term term, const wire::Txn& t, bool Owned::*flag) {
+  find(id, term)->*flag = true;
+  env_.state.txn(n_, t, [this, id, term, t, flag](store::TxnResult r) {
+    if (r.outcome == store::Outcome::kOk) {
+      if (auto* o = find(id, term)) o->*flag = false;
+      return p_.mirror->apply_own(t, r.revision);
     }
-    sync([this, id, term, flag](bool) {
-      if (auto* o = owned(id, term)) o->*flag = false;
+    p_.mirror->sync([this, id, term, flag](bool) {
+      if (auto* o = find(id, term)) o->*flag = false;
     });
   });
 }
 
 void Controller::write_registry(PartId id, Owned& o) {
-  const auto& role = p_.view.part_role(id);
+  const auto& role = view().part_role(id);
   if (o.registering || !role.exists() || role.value.term != o.part->term()) return;
   wire::Txn t{{{store::part_role_key(id), role.version}}, {}};
   for (auto& [b, list] : o.part->unregistered()) {
     auto key = store::machines_key(id, b);
-    t.conditions.push_back({key, p_.view.machines(id, b).version});
+    t.conditions.push_back({key, view().machines(id, b).version});
     t.writes.push_back({key, store::to_json(list), std::nullopt});
   }
   if (!t.writes.empty()) write(id, o.part->term(), t, &Owned::registering);
 }
 
 void Controller::write_progress(PartId id, Owned& o) {
-  const auto& role = p_.view.part_role(id);
+  const auto& role = view().part_role(id);
   if (o.writing || !role.exists() || role.value.term != o.part->term()) return;
   auto unwritten = o.part->unwritten();
   std::erase_if(o.unwritten, [&](const auto& u) { return !unwritten.contains(u.first); });
+  const auto& leader = view().leader();
+  bool told = leader.exists() && p_.heartbeats->reachable(node_number(leader.value.node), instant());
   wire::Txn t{{{store::part_role_key(id), role.version}}, {}};
   for (auto& [j, p] : unwritten) {
-    double delay = p.returned.empty() ? kProgressDelay : kReturnedDelay;
+    double delay = !told ? kProgressDelay : p.returned.empty() ? kProgressDelayTold : kReturnedDelay;
     if (now() - o.unwritten.try_emplace(j, now()).first->second < delay) continue;
     if (mistake(Mistake::kReturnsUntold)) p.returned.clear();
-    const auto* job = p_.view.job(j);
+    const auto* job = view().job(j);
     if (!job) continue;
     auto key = store::progress_key(id, j);
     auto have = job->progress.find(id);
@@ -144,42 +177,51 @@
   if (!t.writes.empty()) write(id, o.part->term(), t, &Owned::writing);
 }
 
-ReportReply Controller::on_report(const wire::Report& r) {
+void Controller::on_report(const wire::Report& r, const Workers::Reply& reply) {
   auto id = env_.parting.of(r.zone, r.machine);
   auto it = p_.parts.find(id);
-  int owner = -1;
-  const auto& role = p_.view.part_role(id);
-  if (role.exists() && p_.view.alive(role.value.node)) owner = Environment::number(role.value.node);
-  if (it == p_.parts.end() || it->second.part->superseded()) return {std::nullopt, owner};
-  if (now() - p_.word > kCancelLimit - kLease - kCancelMargin) return {};
-  auto& part = *it->second.part;
+  if (it == p_.parts.end() || it->second.part->superseded()) return relay(id, r, reply);
+  auto out = answer(it->second, id, r);
+  it->second.part->on_heard_directly(r.machine, instant());
+  reply(out);
+}
+
+ReportReply Controller::answer(Owned& o, PartId id, const wire::Report& r) {
+  auto& part = *o.part;
+  // Without word of cancellations for this long, the leases of tasks that may be cancelled have to run out.
+  if (instant() - word() > from_seconds(kCancelLimit - kLease - kCancelMargin)) return {};
   part.on_report(r, instant());
-  if (part.superseded()) return {std::nullopt, owner};
+  if (part.superseded()) {
+    p_.mirror->sync([](bool) {});
+    return {std::nullopt, owner_of(id).value_or(-1)};
+  }
   if (!part.find_machine(r.machine)) return {};
   return {part.answer(r.machine, instant()), -1};
 }
 
-void Controller::send(PartId id, Term term, const part::Part::Batch& b) {
-  env_.workers.command(b, [this, id, term, b, life = env_.network.life(n_)](std::optional<CommandReply> r) {
-    if (!env_.network.up(n_) || env_.network.life(n_) != life) return;
-    auto* o = owned(id, term);
-    if (!o) return;
-    using CommandResult = part::Part::CommandResult;
-    if (!r) return o->part->on_commands(b, CommandResult::kNoAnswer, std::nullopt, instant());
-    o->part->on_commands(b, r->executed ? CommandResult::kExecuted : CommandResult::kRejected, r->report,
-                         instant());
+void Controller::command(PartId id, Term term, const part::Part::Batch& b) {
+  auto life = env_.network.life(n_);
+  env_.workers.command(n_, b, [this, id, term, b, life](std::optional<CommandReply> r) {
+    env_.network.run(n_, life, Await::kCommand, [this, id, term, b, r] {
+      auto* o = find(id, term);
+      if (!o) return;
+      using Result = part::Part::CommandResult;
+      if (!r) return o->part->on_commands(b, Result::kNoAnswer, std::nullopt, instant());
+      o->part->on_commands(b, r->executed ? Result::kExecuted : Result::kRejected, r->report, instant());
+    });
   });
 }
 
 void Controller::remove(PartId id, Term term, const MachineName& m) {
-  env_.cloud.remove(m, [this, id, term, m](bool ok) {
-    env_.network.later(n_, 0.1, [this, id, term, m, ok] {
-      if (!ok) {
-        if (auto* o = owned(id, term)) o->part->on_delete_failed(m, instant());
-        return;
+  auto life = env_.network.life(n_);
+  env_.cloud.remove(m, [this, id, term, m, life](bool ok) {
+    env_.network.run(n_, life, Await::kCommand, [this, id, term, m, ok] {
+      if (ok) {
+        broadcast([m](Controller& c) { c.on_deleted(m); });
+        on_deleted(m);
+      } else if (auto* o = find(id, term)) {
+        o->part->on_delete_failed(m, instant());
       }
-      for (int to = 0; to < kControllers; ++to)
-        env_.network.peer(n_, to, [this, to, m] { env_.controller(to).on_deleted(m); });
     });
   });
 }
--- a/tests/sim/environment.h
+++ b/tests/sim/environment.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "config/settings.h"
 #include "part/parting.h"
 #include "sim/cloud.h"
 #include "sim/network.h"
@@ -23,13 +24,10 @@
   Workers& workers;
   Cloud& cloud;
   Outcome& outcome;
+  const config::Settings& settings;
   const part::Parting& parting;
   std::shared_ptr<const wire::Catalogue> catalogue;
   std::function<Controller&(int)> controller;
-
-  static NodeName name(int node) { return NodeName("n" + std::to_string(node)); }
-  static Zone zone(int node) { return Zone(node == 1 ? "west" : "east"); }
-  static int number(const NodeName& name) { return name.value()[1] - '0'; }
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/network.h
+++ b/tests/sim/network.h
@@ -1,52 +1,80 @@
-// The controllers' processes and the network between them.
+// The controllers' processes, the network, and what it loses, delays and repeats.
 #pragma once
 
 #include <array>
+#include <map>
+#include <optional>
 
 #include "sim/clock.h"
-#include "sim/options.h"
+#include "sim/topology.h"
 
 namespace beaconsill::sim {
 
+// What a controller's callback is about: it can be made to stand still right before the next one of a kind.
+enum class Await { kTimer, kTransaction, kRead, kCommand, kPeer, kReport, kUser };
+
+// A connection that is interrupted. What is sent meanwhile is refused, or held and delivered afterwards.
+struct Cut {
+  double until = 0;
+  bool hold = false;
+};
+
 class Network {
  public:
   explicit Network(EventQueue& queue) : queue_(queue) {}
 
+  // ---- Processes
   bool up(int node) const { return at(node).up; }
   std::uint64_t life(int node) const { return at(node).life; }
-  // A new process starts: cuts of the one before it are over.
-  void start(int node) { at(node) = {true, at(node).life + 1, 0, 0}; }
-  void stop(int node) { at(node) = {false, at(node).life, 0, 0}; }
-
-  // The state service refuses this controller alone.
-  void refuse(int node, double until) { at(node).refused_until = until; }
-  // The controller is cut off from the state service and the other controllers.
-  void cut(int node, double until) { at(node).cut_until = until; }
-  bool reaches_state(int node) const {
-    return queue_.now() >= at(node).refused_until && queue_.now() >= at(node).cut_until;
-  }
-
-  // Runs only in the same life of the controller.
-  void later(int node, double d, std::function<void()> f) {
-    queue_.after(d, [this, node, life = life(node), f = std::move(f)] {
-      if (up(node) && life == this->life(node)) f();
-    });
-  }
-  // A message between controllers: lost, late, or come twice. `f` is what the receiver does.
+  void start(int node);
+  void stop(int node) { at(node).up = false; }
+  // The process does nothing until then; what comes meanwhile waits.
+  void stand_still(int node, double until) { at(node).still_until = until; }
+  // The same, beginning with its next callback of that kind.
+  void stand_still_at(int node, Await await, double for_s);
+  // `f` happens at the controller now, or once it doesn't stand still any more; never in another life.
+  void run(int node, std::uint64_t life, Await await, std::function<void()> f);
+  void run(int node, Await await, std::function<void()> f) { run(node, life(node), await, std::move(f)); }
+  void later(int node, double d, Await await, std::function<void()> f);
+
+  // ---- Cuts
+  void cut_state(int node, Cut c) { at(node).state = c; }
+  void cut_peers(int node, Cut c) { at(node).peers = c; }
+  void cut_workers(int node, Cut c) { at(node).workers = c; }
+  void cut_users(int node, Cut c) { at(node).users = c; }
+  // Nothing passes between the zone and everything else.
+  void cut_zone(const Zone& zone, Cut c) { zones_[zone] = c; }
+  // The cut on the way, if there is one.
+  std::optional<Cut> way_to_state(int node) const;
+  std::optional<Cut> way_between(int node, int other) const;
+  std::optional<Cut> way_to_worker(int node, const Zone& zone) const;
+  std::optional<Cut> way_to_user(int node) const;
+
+  // ---- Messages between controllers
+  // Lost, late, or come twice. `f` is what the receiver does.
   void peer(int from, int to, std::function<void()> f);
+  // That share of the messages between controllers is lost, or comes late and repeatedly.
+  void lose_peer_messages(Window w) { lost_ = w; }
+  void delay_peer_messages(Window w) { delayed_ = w; }
 
  private:
   struct Process {
     bool up = false;
     std::uint64_t life = 0;
-    double refused_until = 0;
-    double cut_until = 0;
+    double still_until = 0;
+    std::optional<std::pair<Await, double>> still_at;
+    Cut state, peers, workers, users;
   };
   Process& at(int node) { return processes_[static_cast<std::size_t>(node)]; }
   const Process& at(int node) const { return processes_[static_cast<std::size_t>(node)]; }
+  std::optional<Cut> active(const Cut& c) const;
+  std::optional<Cut> leaving(const Zone& zone) const;
+  std::optional<Cut> between(const Zone& a, const Zone& b) const;
 
   EventQueue& queue_;
   std::array<Process, kControllers> processes_;
+  std::map<Zone, Cut> zones_;
+  Window lost_, delayed_;
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/options.h
+++ b/tests/sim/options.h
@@ -4,14 +4,12 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
+
+#include "sim/topology.h"
 
 namespace beaconsill::sim {
 
-constexpr int kControllers = 3;
-// The settings of the simulated deployment, in seconds and CPUs.
-constexpr double kLease = 10;
-constexpr double kCancelLimit = 40;
-constexpr double kTeamCpus = 30;
 // Once troubles are over, so long a time is left before everything has to be in order.
 constexpr double kCalmAfter = 30;
 
@@ -26,16 +24,26 @@
   kDoneTooSoon,         // a job passes for done when half of its tasks are
   kCopiesAreNews,       // late copies of reports pass for the newest word
   kZoneIgnored,         // the zone that a job sets gets lost
+  kZonesIgnored,        // that a job's tasks must be in one zone, or in several, gets lost
+  kAnswersUnread,       // users are answered without a read through the state service
+  kKnownUnread,         // the same, only for jobs that the controller knows of
+  kOutageIsEmpty,       // what can't be read passes for what isn't there
+  kKnownJudgedAgain,    // a repeated submission is judged as if it were new
+  kInventsJobs,         // a job that nobody submitted passes for queued
+  kDoneIsCancelled,     // a job that is done is recorded as cancelled
+  kNothingTooLarge,     // jobs larger than their team's limit are accepted
+  kCallbackLost,        // after a read that failed nobody who asks is answered any more
+  kJobPassedOver,       // the leader overlooks a job
 };
 
 struct Options {
   std::uint64_t seed = 1;
   int machines = 14;
   int jobs = 26;           // drawn ones
-  double troubles_s = 90;  // drawn troubles come until then
-  double end_s = 300;      // by then everything must be served
+  double troubles_s = 90;  // drawn troubles begin until then
+  double end_s = 400;      // by then everything must be served
   double report_s = 1;
-  bool drawn_troubles = true;  // crashes, outages and so on at drawn times
+  bool drawn_troubles = true;  // meetings of two or three troubles at drawn times
   bool noise = true;           // the rare losses, delays and repetitions of single messages
   Mistake mistake = Mistake::kNone;
 
@@ -53,8 +61,11 @@
   std::map<std::string, int> broken;  // rule -> how often
   std::string first;                  // what was seen first
   int started = 0;
+  int started_cancelled = 0;  // starts after a confirmed cancellation; counted, not forbidden
   int takeovers = 0;
-  double served_at = 0;  // when everything was in order after the troubles; 0: never
+  int answered = 0;
+  double served_at = 0;               // when everything was in order after the troubles; 0: never
+  std::vector<std::string> schedule;  // the troubles, as they came
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/rules.cpp
+++ b/tests/sim/rules.cpp
@@ -3,9 +3,16 @@
 #include "store/records.h"
 
 namespace beaconsill::sim {
+namespace {
+// Once the troubles are over: no question about an accepted job goes unanswered for longer, and no job waits
+// for longer while it could run.
+constexpr double kUnanswered = 75;
+constexpr double kWaiting = 90;
+constexpr double kTiny = 1e-6;
+}  // namespace
 
 void Rules::broke(const std::string& rule, const std::string& what) {
-  if (outcome_.broken[rule]++ == 0)
+  if (outcome_.broken[rule]++ == 0 && outcome_.first.empty())
     outcome_.first = rule + " at " + std::to_string(queue_.now()) + ": " + what;
 }
 
@@ -16,7 +23,7 @@
   for (const auto& [name, other] : books_.machines) {
     if (other.gone || now - other.lease_from > kLease) continue;
     for (const auto& [key, t] : other.tasks) {
-      if (!t.running || t.ended) continue;
+      if (!t.on_machine()) continue;
       const auto& j = books_.jobs.at(key.first.job);
       bool over = now >= other.hangs_until && j.spec->kind == JobKind::kArray && now >= t.ends;
       if (over) continue;  // ended, though the stand-in hasn't looked at it yet
@@ -24,42 +31,150 @@
       if (&other != &m && key.first == task) broke("ran_twice", text + " and " + other.name.value());
     }
   }
-  if (used > kTeamCpus + 1e-6) broke("quota", text + ": " + std::to_string(used));
-  if (job.spec->zone && *job.spec->zone != m.zone) broke("wrong_place", text);
+  if (used > kTeamCpus + kTiny) broke("quota", text + ": " + std::to_string(used));
+  check_place(m, task, job);
+  if (job.cancelled) ++outcome_.started_cancelled;
   if (job.cancelled && now > *job.cancelled + kCancelLimit) broke("ran_cancelled", text + " started");
+  ++started_[task.job];
+}
+
+// Given the job's other tasks at this moment.
+void Rules::check_place(const Machine& m, const TaskId& task, const Job& job) {
+  const auto& spec = *job.spec;
+  auto text = wire::task_name(task) + " on " + m.name.value() + " in " + m.zone.value();
+  if (spec.zone && *spec.zone != m.zone) broke("wrong_place", text);
+  if (!spec.one_zone && !spec.spread) return;
+  std::map<Zone, std::set<std::uint32_t>> there;
+  books_.each_task(task.job, [&](const Machine& other, const auto& key, const Task& t) {
+    bool over = queue_.now() >= other.hangs_until && spec.kind == JobKind::kArray && queue_.now() >= t.ends;
+    if (t.on_machine() && !over && queue_.now() - other.lease_from <= kLease)
+      there[other.zone].insert(key.first.index);
+  });
+  there[m.zone].insert(task.index);
+  if (spec.one_zone && there.size() > 1) broke("wrong_place", text + ", others are in another zone");
+  if (spec.spread && there[m.zone].size() > (spec.tasks + 1) / 2)
+    broke("wrong_place", text + ", too many are there");
 }
 
 void Rules::on_written(const wire::Write& w) {
   const std::string ends = std::string(store::kPrefix) + "ends/";
   if (!w.key.starts_with(ends)) return;
   if (!w.value) return broke("went_back", w.key);
-  const auto& job = books_.jobs.at(JobId(w.key.substr(ends.size())));
-  auto end = store::parse_ending(*w.value).end;
-  if (end != store::End::kDone) return;
+  auto it = books_.jobs.find(JobId(w.key.substr(ends.size())));
+  if (it == books_.jobs.end()) return broke("invented", w.key);
+  const auto& job = it->second;
+  if (store::parse_ending(*w.value).end != store::End::kDone) return;
   advance_();
   if (job.done.size() < job.spec->tasks) broke("not_done", w.key + " " + std::to_string(job.done.size()));
 }
 
-void Rules::look() {
+void Rules::on_answer(const Answer& a) {
+  ++outcome_.answered;
+  auto it = books_.jobs.find(a.job);
+  auto text = a.job.value() + " at n" + std::to_string(a.node) + ", status " + std::to_string(a.status);
+  if (it == books_.jobs.end()) {
+    if (a.ok()) broke(a.ask == Ask::kSubmit ? "accepted_bad" : "invented", text);
+    return;
+  }
+  const auto& job = it->second;
+  auto& told = told_[a.job];
+  bool known = told.accepted && *told.accepted <= a.sent_s;
+  if (known && a.status == 404) broke("forgotten", text);
+  if (known && (a.status == 400 || a.status == 422)) broke("forgotten", text + " to a repeat");
+  if (!a.ok()) return;
+  told.answered = queue_.now();
+  if (!told.accepted) told.accepted = a.at_s;
+  if (told.over && *told.over <= a.sent_s && !a.final()) broke("went_back", text + ": not over any more");
+  if (!a.final()) return;
+  if (told.end && told.end != a.state) broke("went_back", text + ": ended otherwise before");
+  if (a.state == wire::JobState::kCancelled && !job.cancel_asked)
+    broke("went_back", text + ": cancelled by nobody");
+  if (!told.over) {
+    told.over = a.at_s;
+    told.end = a.state;
+    advance_();
+    if (a.state == wire::JobState::kDone && job.done.size() < job.spec->tasks) broke("not_done", text);
+  }
+}
+
+void Rules::look(double calm_since) {
   advance_();
+  check_late_cancellations();
+  if (queue_.now() < calm_since) return waits_.clear();
+  for (const auto& [id, job] : books_.jobs) {
+    if (!job.accepted) continue;
+    check_answered(id, job, calm_since);
+    check_waiting(id, job, calm_since);
+  }
+}
+
+void Rules::check_late_cancellations() {
   for (const auto& [id, j] : books_.jobs) {
     if (!j.cancelled || queue_.now() <= *j.cancelled + kCancelLimit) continue;
-    for (const auto& [name, m] : books_.machines)
-      for (const auto& [key, t] : m.tasks)
-        if (key.first.job == id && !m.gone && t.running && !t.ended)
-          broke("ran_cancelled", wire::task_name(key.first) + " on " + name.value());
+    books_.each_task(id, [&](const Machine& m, const auto& key, const Task& t) {
+      if (t.on_machine()) broke("ran_cancelled", wire::task_name(key.first) + " on " + m.name.value());
+    });
+  }
+}
+
+void Rules::check_answered(const JobId& id, const Job& job, double calm_since) {
+  if (job.cancelled) return;
+  const auto& told = told_[id];
+  if (told.over) return;
+  double since = std::max({calm_since, told.answered.value_or(0), job.submitted});
+  if (queue_.now() - since > kUnanswered)
+    broke("forgotten", "no question about " + id.value() + " is answered");
+}
+
+void Rules::check_waiting(const JobId& id, const Job& job, double calm_since) {
+  if (!could_run(id, job)) {
+    waits_.erase(id);
+    return;
+  }
+  auto started = started_.find(id);
+  int n = started == started_.end() ? 0 : started->second;
+  auto [w, fresh] = waits_.try_emplace(id, Wait{std::max(calm_since, queue_.now()), n});
+  if (w->second.started != n) w->second = {queue_.now(), n};
+  if (!fresh && queue_.now() - w->second.since > kWaiting) broke("starved", id.value() + " waits");
+}
+
+// A task of it is nowhere, a machine that fits has room, and the team is under its limit.
+bool Rules::could_run(const JobId& id, const Job& job) const {
+  const auto& told = told_.find(id);
+  if (job.cancel_asked || (told != told_.end() && told->second.over)) return false;
+  const auto& spec = *job.spec;
+  std::set<std::uint32_t> there = job.done;
+  double used = 0;
+  bool room = false;
+  for (const auto& [name, m] : books_.machines) {
+    if (m.gone) continue;
+    double cpus = 0;
+    double memory = 0;
+    for (const auto& [key, t] : m.tasks) {
+      if (t.ended) continue;
+      const auto& other = *books_.jobs.at(key.first.job).spec;
+      cpus += other.each.cpus;
+      memory += other.each.memory_gb;
+      if (other.team == spec.team) used += other.each.cpus;
+      if (key.first.job == id) there.insert(key.first.index);
+    }
+    bool fits = (!spec.zone || *spec.zone == m.zone) && cpus + spec.each.cpus <= kMachineCpus + kTiny &&
+                memory + spec.each.memory_gb <= kMachineMemory + kTiny;
+    room |= fits && queue_.now() >= m.hangs_until;
   }
+  // Where a job that sets its zones may still go depends on where its other tasks are: left out.
+  if (spec.one_zone || spec.spread) room &= there == job.done;
+  return there.size() < spec.tasks && room && used + spec.each.cpus <= kTeamCpus + kTiny;
 }
 
 bool Rules::satisfied(const JobId& id, const Job& job, const StateService& state) const {
   if (!job.accepted) return false;
-  bool over = state.find(store::end_key(id)) != nullptr;
   std::set<std::uint32_t> running;
-  for (const auto& [name, m] : books_.machines)
-    for (const auto& [key, t] : m.tasks)
-      if (key.first.job == id && !m.gone && t.running && !t.ended) running.insert(key.first.index);
-  if (over) return running.empty();
-  return job.spec->kind == JobKind::kService && running.size() == job.spec->tasks;
+  books_.each_task(id, [&](const Machine&, const auto& key, const Task& t) {
+    if (t.on_machine()) running.insert(key.first.index);
+  });
+  if (state.find(store::end_key(id))) return running.empty();
+  return job.spec->kind == JobKind::kService && !job.cancel_asked && running.size() == job.spec->tasks;
 }
 
 }  // namespace beaconsill::sim
--- a/tests/sim/rules.h
+++ b/tests/sim/rules.h
@@ -1,8 +1,10 @@
 // The rules of the protocol, checked on the books.
 #pragma once
 
+#include <functional>
 #include <string>
 
+#include "sim/answer.h"
 #include "sim/books.h"
 #include "sim/clock.h"
 #include "sim/options.h"
@@ -21,16 +23,37 @@
   void on_begin(const Machine& m, const TaskId& task, const Job& job);
   // The state service holds a new value.
   void on_written(const wire::Write& w);
-  // Looks at everything. To be called about once a second.
-  void look();
+  // An answer reached its user. Jobs that aren't in the books were never submitted, or not as they should be.
+  void on_answer(const Answer& a);
+  // Looks at everything. To be called about once a second. `calm_since`: when the last trouble was over.
+  void look(double calm_since);
   // What users want of the job is so.
   bool satisfied(const JobId& id, const Job& job, const StateService& state) const;
 
  private:
+  // What users were told of a job, and when.
+  struct Told {
+    std::optional<double> accepted, over, answered;
+    std::optional<wire::JobState> end;
+  };
+  // Since when a job waits though it could run.
+  struct Wait {
+    double since = 0;
+    int started = 0;
+  };
+  void check_place(const Machine& m, const TaskId& task, const Job& job);
+  void check_late_cancellations();
+  void check_answered(const JobId& id, const Job& job, double calm_since);
+  void check_waiting(const JobId& id, const Job& job, double calm_since);
+  bool could_run(const JobId& id, const Job& job) const;
+
   const EventQueue& queue_;
   const Books& books_;
   Outcome& outcome_;
   std::function<void()> advance_;
+  std::map<JobId, Told> told_;
+  std::map<JobId, Wait> waits_;
+  std::map<JobId, int> started_;
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/state_service.cpp
+++ b/tests/sim/state_service.cpp
@@ -12,6 +12,12 @@
                            std::function<void(const wire::Write&)> on_written)
     : queue_(queue), network_(network), lost_answers_(lost_answers), on_written_(std::move(on_written)) {}
 
+bool StateService::answers(int node) const {
+  auto refused = refused_until_.find(node);
+  return queue_.now() >= outage_until_ &&
+         (refused == refused_until_.end() || queue_.now() >= refused->second) && !network_.way_to_state(node);
+}
+
 bool StateService::apply(const wire::Txn& t, Revision& r) {
   for (const auto& c : t.conditions) {
     const auto* entry = find(c.key);
@@ -32,42 +38,80 @@
   return true;
 }
 
-void StateService::txn(int node, wire::Txn t, Done done) {
-  if (!answers(node)) return network_.later(node, kRefusal, [done] { done(Result::kRefused, Revision()); });
+void StateService::apply_later(double d, const wire::Txn& t) {
+  queue_.after(d, [this, t] {
+    Revision r;
+    apply(t, r);
+  });
+}
+
+double StateService::way() {
   double way = queue_.uniform(0.003, 0.012) * (queue_.mishap(0.02) ? 30 : 1);
+  return slow_.hits(queue_) ? queue_.uniform(0.1, 1.2) : way;
+}
+
+void StateService::txn(int node, wire::Txn t, Done done) {
+  auto answer = [this, node, done, life = network_.life(node)](double d, store::TxnResult r) {
+    queue_.after(d, [this, node, done, life, r] {
+      network_.run(node, life, Await::kTransaction, [done, r] { done(r); });
+    });
+  };
+  if (auto cut = network_.way_to_state(node); cut && cut->hold) {
+    apply_later(cut->until - queue_.now() + queue_.uniform(0, 0.5), t);
+    return answer(kTimeout, {store::Outcome::kUnknown, {}});
+  }
+  if (!answers(node)) return answer(kRefusal, {store::Outcome::kRefused, {}});
+  double there = way();
+  if (at_once_.hits(queue_)) {
+    apply_later(there, t);
+    return answer(kTimeout, {store::Outcome::kUnknown, {}});
+  }
+  if (late_.hits(queue_)) {
+    apply_later(queue_.uniform(2, 12), t);
+    return answer(kTimeout, {store::Outcome::kUnknown, {}});
+  }
   if (queue_.mishap(lost_answers_)) {
     // No answer. It's carried out, never, or long after.
-    double late = queue_.chance(0.3) ? -1 : queue_.chance(0.5) ? way : queue_.uniform(1, 60);
-    if (late >= 0)
-      queue_.after(late, [this, t] {
-        Revision r;
-        apply(t, r);
-      });
-    return network_.later(node, kTimeout, [done] { done(Result::kUnknown, Revision()); });
+    if (!queue_.chance(0.3)) apply_later(queue_.chance(0.5) ? there : queue_.uniform(1, 60), t);
+    return answer(kTimeout, {store::Outcome::kUnknown, {}});
   }
-  queue_.after(way, [this, node, t, done, way, life = network_.life(node)] {
+  double back = way();
+  queue_.after(there, [this, t, answer, there, back] {
     Revision r;
     bool ok = apply(t, r);
-    queue_.after(way, [this, node, done, ok, r, life] {
-      if (network_.up(node) && network_.life(node) == life) done(ok ? Result::kOk : Result::kConflict, r);
-    });
+    // The answer of a service that took its time comes too late.
+    if (there + back > kTimeout) return answer(kTimeout - there, {store::Outcome::kUnknown, {}});
+    answer(back, {ok ? store::Outcome::kOk : store::Outcome::kConflict, r});
   });
 }
 
-void StateService::read(int node, std::function<void(std::size_t)> done) {
-  double way = queue_.uniform(0.003, 0.012);
-  queue_.after(way, [this, node, done, way, life = network_.life(node)] {
-    auto upto = log_.size();
-    queue_.after(way, [this, node, done, upto, life] {
-      if (network_.up(node) && network_.life(node) == life) done(upto);
+void StateService::read(int node, std::function<void(std::optional<std::size_t>)> done) {
+  auto answer = [this, node, done, life = network_.life(node)](double d, std::optional<std::size_t> upto) {
+    queue_.after(d, [this, node, done, life, upto] {
+      network_.run(node, life, Await::kRead, [done, upto] { done(upto); });
     });
+  };
+  if (auto cut = network_.way_to_state(node); cut && cut->hold) return answer(kTimeout, std::nullopt);
+  if (!answers(node)) return answer(kRefusal, std::nullopt);
+  double there = way();
+  double back = way();
+  queue_.after(there, [this, node, answer, back] {
+    if (!answers(node)) return answer(back, std::nullopt);
+    answer(back, log_.size());
   });
 }
 
 void StateService::renew(int node, const std::string& key) {
   if (!answers(node)) return;
   hold_until_[node] = queue_.now() + kHold;
-  if (!find(key)) txn(node, {{}, {{key, wire::Json{{"up", true}}, std::nullopt}}}, [](Result, Revision) {});
+  if (!find(key)) {
+    // It's attached to the hold, and refused once that is over.
+    queue_.after(way(), [this, node, key] {
+      Revision r;
+      if (queue_.now() < hold_until_[node] && !find(key))
+        apply({{}, {{key, wire::Json{{"up", true}}, std::nullopt}}}, r);
+    });
+  }
   queue_.after(kHold + kHoldLag, [this, node, key] { expire(node, key); });
 }
 
--- a/tests/sim/state_service.h
+++ b/tests/sim/state_service.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "sim/network.h"
-#include "wire/store.h"
+#include "store/access.h"
 
 namespace beaconsill::sim {
 
@@ -16,26 +16,30 @@
     wire::Json value;
     std::uint64_t version = 0;
   };
-  enum class Result { kOk, kConflict, kRefused, kUnknown };
-  using Done = std::function<void(Result, Revision)>;
+  using Done = std::function<void(store::TxnResult)>;
 
-  // `lost_answers`: the share of transactions without an answer.
+  // `lost_answers`: the share of transactions without an answer, at any time.
   // `on_written` is called for each change.
   StateService(EventQueue& queue, Network& network, double lost_answers,
                std::function<void(const wire::Write&)> on_written);
 
-  // Answers nobody until then.
-  void outage(double until) { outage_until_ = until; }
-  bool answers(int node) const { return queue_.now() >= outage_until_ && network_.reaches_state(node); }
+  // ---- Troubles
+  void outage(double until) { outage_until_ = std::max(outage_until_, until); }
+  void refuse(int node, double until) { refused_until_[node] = until; }
+  // Of that share of transactions only the answer is lost.
+  void lose_answers(Window w) { at_once_ = w; }
+  // That share has no answer and is carried out 2 to 12 s later, after newer ones.
+  void delay_writes(Window w) { late_ = w; }
+  void answer_slowly(Window w) { slow_ = w; }
 
+  // Whether this controller is served now.
+  bool answers(int node) const;
   void txn(int node, wire::Txn t, Done done);
-  // Reads all changes so far; `done` gets the number of entries of the log that were read.
-  void read(int node, std::function<void(std::size_t)> done);
+  // Reads all changes so far; `done` gets the number of entries of the log that were read, or none.
+  void read(int node, std::function<void(std::optional<std::size_t>)> done);
   const std::vector<wire::Change>& log() const { return log_; }
-
-  // Renews the hold under a controller's liveness key.
+  // Renews the hold under a controller's liveness key, and writes the key if it isn't there.
   void renew(int node, const std::string& key);
-  void forget_hold(int node) { hold_until_[node] = 0; }
 
   const Entry* find(const std::string& key) const {
     auto it = entries_.find(key);
@@ -44,7 +48,9 @@
 
  private:
   bool apply(const wire::Txn& t, Revision& r);
+  void apply_later(double d, const wire::Txn& t);
   void expire(int node, const std::string& key);
+  double way();
 
   EventQueue& queue_;
   Network& network_;
@@ -53,8 +59,9 @@
   std::map<std::string, Entry> entries_;
   std::vector<wire::Change> log_;
   std::uint64_t revision_ = 0;
-  std::map<int, double> hold_until_;
+  std::map<int, double> hold_until_, refused_until_;
   double outage_until_ = 0;
+  Window at_once_, late_, slow_;
 };
 
 }  // namespace beaconsill::sim
--- /dev/null
+++ b/tests/sim/topology.h
@@ -0,0 +1,37 @@
+// The simulated deployment: three controllers in two zones, machines in three.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/types.h"
+
+namespace beaconsill::sim {
+
+constexpr int kControllers = 3;
+// The settings, in seconds and CPUs.
+constexpr double kLease = 10;
+constexpr double kCancelLimit = 40;
+constexpr double kTeamCpus = 30;
+constexpr double kMachineCpus = 8;
+constexpr double kMachineMemory = 32;
+
+inline NodeName node_name(int node) {
+  return NodeName("n" + std::to_string(node));
+}
+inline int node_number(const NodeName& name) {
+  return name.value()[1] - '0';
+}
+inline Zone node_zone(int node) {
+  return Zone(node == 1 ? "west" : "east");
+}
+inline const std::vector<Zone>& zones() {
+  static const std::vector<Zone> all{Zone("east"), Zone("west"), Zone("north")};
+  return all;
+}
+inline const std::vector<Team>& teams() {
+  static const std::vector<Team> all{Team("green"), Team("blue")};
+  return all;
+}
+
+}  // namespace beaconsill::sim
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -3,28 +3,60 @@
 #include "sim/controller.h"
 
 namespace beaconsill::sim {
+namespace {
+constexpr double kLeaderBack = 1;
+constexpr double kSmallJobPeriod = 0.25;
+constexpr double kOddPeriod = 0.4;
+constexpr std::size_t kMostHanging = 8;
+}  // namespace
+
+const char* to_string(TroubleKind kind) {
+  static const char* const names[] = {"node_ends",
+                                      "node_stands_still",
+                                      "leaders_change",
+                                      "node_cut_from_state",
+                                      "node_cut_from_peers",
+                                      "node_cut_from_state_and_peers",
+                                      "node_cut",
+                                      "state_refuses_node",
+                                      "state_outage",
+                                      "state_slow",
+                                      "lost_answers",
+                                      "late_writes",
+                                      "zone_cut",
+                                      "lost_peer_messages",
+                                      "late_peer_messages",
+                                      "late_reports",
+                                      "reports_for_next",
+                                      "late_commands",
+                                      "machine_hangs",
+                                      "machine_deaf",
+                                      "machine_mute",
+                                      "machine_ends",
+                                      "quick_machines",
+                                      "cancel_now",
+                                      "cancel_at_end",
+                                      "close_looks",
+                                      "odd_requests",
+                                      "one_task_jobs",
+                                      "limits_filled"};
+  static_assert(std::size(names) == kTroubleKinds);
+  return names[static_cast<std::size_t>(kind)];
+}
 
 void Troubles::add(const Trouble& t) {
   over_ = std::max(over_, t.at_s + t.for_s);
   env_.queue.at(t.at_s, [this, t] { begin(t); });
 }
 
-void Troubles::draw_until(double end) {
-  over_ = std::max(over_, end);
-  for (double t = 12; t < end;) {
-    env_.queue.at(t, [this] { begin_drawn(); });
-    t += env_.queue.uniform(2, 14);
-  }
-}
-
 std::optional<int> Troubles::leader() const {
   const auto* entry = env_.state.find(store::leader_role_key());
   if (!entry) return std::nullopt;
-  return Environment::number(store::parse_role(entry->value).node);
+  return node_number(store::parse_role(entry->value).node);
 }
 
 std::vector<int> Troubles::choose(const Who& who) {
-  int drawn = static_cast<int>(env_.queue.draw() % kControllers);
+  int drawn = env_.queue.draw_below(kControllers);
   switch (who.kind) {
     case Who::Kind::kDrawn:
       return {drawn};
@@ -47,80 +79,174 @@
   for (auto& [name, m] : books_.machines) {
     if (m.gone || (which.name && *which.name != name) || (which.zone && *which.zone != m.zone)) continue;
     bool runs = std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
-      return which.running && t.first.first.job == *which.running;
+      return which.running && t.first.first.job == *which.running && !t.second.ended;
     });
     if (!which.running || runs) out.push_back(&m);
   }
   bool any = !which.name && !which.zone && !which.running;
   auto count = static_cast<std::size_t>(which.count ? which.count : any ? 1 : 0);
   if (count == 0) return out;
-  while (out.size() > count)
-    out.erase(out.begin() + static_cast<std::ptrdiff_t>(env_.queue.draw() % out.size()));
+  while (out.size() > count) out.erase(out.begin() + env_.queue.draw_below(static_cast<int>(out.size())));
   return out;
 }
 
 void Troubles::begin(const Trouble& t) {
+  env_.outcome.schedule.push_back(std::to_string(env_.queue.now()) + " " + to_string(t.kind) + " for " +
+                                  std::to_string(t.for_s));
   switch (t.kind) {
-    case TroubleKind::kStateOutage:
-      return env_.state.outage(env_.queue.now() + t.for_s);
     case TroubleKind::kNodeEnds:
-    case TroubleKind::kStateRefusesNode:
+    case TroubleKind::kNodeStandsStill:
+    case TroubleKind::kNodeCutFromState:
+    case TroubleKind::kNodeCutFromPeers:
     case TroubleKind::kNodeCutFromStateAndPeers:
-      for (int n : choose(t.who)) begin_at(t, n);
+    case TroubleKind::kNodeCut:
+    case TroubleKind::kStateRefusesNode:
+      for (int n : choose(t.who)) begin_at_node(t, n);
       return;
+    case TroubleKind::kLeadersChange:
+      return change_leaders(t);
     case TroubleKind::kMachineHangs:
     case TroubleKind::kMachineDeaf:
+    case TroubleKind::kMachineMute:
     case TroubleKind::kMachineEnds:
-      for (auto* m : choose(t.which)) begin_at(t, *m);
+      for (auto* m : choose(t.which)) begin_at_machine(t, *m);
       return;
+    case TroubleKind::kQuickMachines:
+      return env_.cloud.boot_quickly(env_.queue.now() + t.for_s);
+    case TroubleKind::kStateOutage:
+    case TroubleKind::kStateSlow:
+    case TroubleKind::kLostAnswers:
+    case TroubleKind::kLateWrites:
+      return begin_in_state_service(t);
+    case TroubleKind::kZoneCut:
+    case TroubleKind::kLostPeerMessages:
+    case TroubleKind::kLatePeerMessages:
+    case TroubleKind::kLateReports:
+    case TroubleKind::kReportsForNext:
+    case TroubleKind::kLateCommands:
+      return begin_with_messages(t);
+    case TroubleKind::kCancelNow:
+    case TroubleKind::kCancelAtEnd:
+    case TroubleKind::kCloseLooks:
+    case TroubleKind::kOddRequests:
+    case TroubleKind::kOneTaskJobs:
+    case TroubleKind::kLimitsFilled:
+      return begin_with_users(t);
   }
 }
 
-void Troubles::begin_at(const Trouble& t, int node) {
+void Troubles::begin_at_node(const Trouble& t, int node) {
   double until = env_.queue.now() + t.for_s;
-  if (t.kind == TroubleKind::kNodeEnds) return env_.controller(node).crash(t.for_s);
-  if (t.kind == TroubleKind::kStateRefusesNode) return env_.network.refuse(node, until);
-  env_.network.cut(node, until);
+  Cut cut{until, t.hold};
+  auto& network = env_.network;
+  env_.outcome.schedule.back() += " n" + std::to_string(node);
+  switch (t.kind) {
+    case TroubleKind::kNodeEnds:
+      return env_.controller(node).crash(t.for_s);
+    case TroubleKind::kNodeStandsStill:
+      if (t.await) return network.stand_still_at(node, *t.await, t.for_s);
+      return network.stand_still(node, until);
+    case TroubleKind::kNodeCutFromState:
+      return network.cut_state(node, cut);
+    case TroubleKind::kNodeCutFromPeers:
+      return network.cut_peers(node, cut);
+    case TroubleKind::kStateRefusesNode:
+      return env_.state.refuse(node, until);
+    case TroubleKind::kNodeCut:
+      network.cut_workers(node, cut);
+      network.cut_users(node, cut);
+      [[fallthrough]];
+    default:
+      network.cut_state(node, cut);
+      network.cut_peers(node, cut);
+  }
 }
 
-void Troubles::begin_at(const Trouble& t, Machine& m) {
+void Troubles::begin_at_machine(const Trouble& t, Machine& m) {
   double until = env_.queue.now() + t.for_s;
-  if (t.kind == TroubleKind::kMachineEnds) return env_.cloud.kill(m.name);
-  (t.kind == TroubleKind::kMachineHangs ? m.hangs_until : m.deaf_until) = until;
-}
-
-void Troubles::begin_drawn() {
-  auto& q = env_.queue;
-  double now = q.now();
-  int n = static_cast<int>(q.draw() % kControllers);
-  auto m = std::next(books_.machines.begin(), static_cast<std::ptrdiff_t>(q.draw() % books_.machines.size()));
-  switch (q.draw() % 11) {
-    case 0:
-      return env_.controller(n).crash(3);
-    case 1:
-      return env_.controller(n).crash(0.15);
-    case 2:
-      for (int i = 0; i < kControllers; ++i) env_.controller(i).crash(3 + 0.1 * i);
+  env_.outcome.schedule.back() += " " + m.name.value();
+  switch (t.kind) {
+    case TroubleKind::kMachineHangs:
+      m.hangs_until = until;
       return;
-    case 3:
-      return env_.state.outage(now + q.uniform(3, 15));
-    case 4:
-      return env_.network.refuse(n, now + q.uniform(5, 25));
-    case 5:
-      return env_.network.cut(n, now + q.uniform(5, 25));
-    case 6:
-    case 7:
-      m->second.hangs_until = now + q.uniform(1, 30);
+    case TroubleKind::kMachineDeaf:
+      m.deaf_until = until;
       return;
-    case 8:
-      m->second.deaf_until = now + q.uniform(4, 30);
+    case TroubleKind::kMachineMute:
+      m.mute_until = until;
       return;
-    case 9:
-      return env_.cloud.kill(m->first);
-    case 10:  // in the middle of an election
-      env_.controller(n).crash(0.1);
-      return q.after(0.3, [this, n] { env_.controller((n + 1) % kControllers).crash(0.2); });
+    default:
+      return env_.cloud.kill(m.name);
   }
 }
 
+void Troubles::begin_in_state_service(const Trouble& t) {
+  double until = env_.queue.now() + t.for_s;
+  Window window{until, t.share};
+  switch (t.kind) {
+    case TroubleKind::kStateOutage:
+      return env_.state.outage(until);
+    case TroubleKind::kStateSlow:
+      return env_.state.answer_slowly(window);
+    case TroubleKind::kLostAnswers:
+      return env_.state.lose_answers(window);
+    default:
+      return env_.state.delay_writes(window);
+  }
+}
+
+void Troubles::begin_with_messages(const Trouble& t) {
+  double until = env_.queue.now() + t.for_s;
+  Window window{until, t.share};
+  switch (t.kind) {
+    case TroubleKind::kZoneCut:
+      return env_.network.cut_zone(t.zone.value_or(zones().front()), {until, t.hold});
+    case TroubleKind::kLostPeerMessages:
+      return env_.network.lose_peer_messages(window);
+    case TroubleKind::kLatePeerMessages:
+      return env_.network.delay_peer_messages(window);
+    case TroubleKind::kLateReports:
+      return env_.workers.copy_reports(window);
+    case TroubleKind::kReportsForNext:
+      return env_.workers.keep_copies_for_next(window);
+    default:
+      return env_.workers.delay_commands(window);
+  }
+}
+
+void Troubles::begin_with_users(const Trouble& t) {
+  double until = env_.queue.now() + t.for_s;
+  switch (t.kind) {
+    case TroubleKind::kCancelNow: {
+      auto there = users_.cancel_now(t.count);
+      if (there.size() > kMostHanging) there.resize(kMostHanging);
+      for (const auto& name : there)
+        if (auto* m = books_.machine(name)) m->hangs_until = std::max(m->hangs_until, until);
+      return;
+    }
+    case TroubleKind::kCancelAtEnd:
+      return users_.cancel_at_end({until, t.share});
+    case TroubleKind::kCloseLooks:
+      return users_.look_closely(until);
+    case TroubleKind::kOddRequests:
+      return repeat(until, kOddPeriod, [this] { users_.odd_request(); });
+    case TroubleKind::kOneTaskJobs:
+      return repeat(until, kSmallJobPeriod, [this] { users_.submit_small(); });
+    default:
+      return users_.fill_limits();
+  }
+}
+
+void Troubles::change_leaders(const Trouble& t) {
+  repeat(env_.queue.now() + t.for_s, t.period_s, [this] {
+    if (auto n = leader()) env_.controller(*n).crash(kLeaderBack);
+  });
+}
+
+void Troubles::repeat(double until, double period, std::function<void()> f) {
+  if (env_.queue.now() >= until) return;
+  f();
+  env_.queue.after(period, [this, until, period, f] { repeat(until, period, f); });
+}
+
 }  // namespace beaconsill::sim
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -4,126 +4,271 @@
 
 namespace beaconsill::sim {
 namespace {
-constexpr double kSubmitWait = 3;
-constexpr double kCancelWait = 2.5;
+constexpr double kStatusTimeout = 2;
 constexpr double kTimeout = 5;
+constexpr double kRetry = 1;
+constexpr double kPollPeriod = 5;
+constexpr double kPollPeriodOver = 20;
+const std::string kPath = "/v1/jobs";
+
+std::optional<wire::JobState> parse_state(const net::Response& r) {
+  if (r.status != 200 && r.status != 201) return std::nullopt;
+  auto text = wire::parse_object(r.body).at("bearing").get<std::string>();
+  if (text == "queued") return wire::JobState::kQueued;
+  if (text == "running") return wire::JobState::kRunning;
+  if (text == "done") return wire::JobState::kDone;
+  return wire::JobState::kCancelled;
+}
+
+net::Request render(const JobId& id, Ask ask, std::string body) {
+  switch (ask) {
+    case Ask::kSubmit:
+      return {"POST", kPath, "", std::move(body)};
+    case Ask::kStatus:
+      return {"GET", kPath + '/' + id.value(), "", ""};
+    case Ask::kCancel:
+      break;
+  }
+  return {"POST", kPath + '/' + id.value() + "/withdraw", "", ""};
+}
+
 }  // namespace
 
-wire::JobSpec Users::drawn_spec(int i) {
+void Users::submit(int node, const wire::JobSpec& spec, std::optional<double> run_s, OnAnswer then) {
+  auto& j = books_.jobs[spec.id];
+  if (!j.spec) {
+    j.spec = std::make_shared<const wire::JobSpec>(spec);
+    j.run_s = run_s;
+    j.submitted = env_.queue.now();
+  }
+  auto sent = spec;
+  if (env_.options.mistake == Mistake::kZoneIgnored) sent.zone.reset();
+  if (env_.options.mistake == Mistake::kZonesIgnored) sent.one_zone = sent.spread = false;
+  request(node, spec.id, Ask::kSubmit, wire::job_to_json(sent).dump(), std::move(then));
+}
+
+void Users::poll(int node, const JobId& id, OnAnswer then) {
+  request(node, id, Ask::kStatus, "", std::move(then));
+}
+
+void Users::cancel(int node, const JobId& id, OnAnswer then) {
+  if (auto j = books_.jobs.find(id); j != books_.jobs.end()) j->second.cancel_asked = true;
+  request(node, id, Ask::kCancel, "", std::move(then));
+}
+
+void Users::request(int node, const JobId& id, Ask ask, std::string body, OnAnswer then) {
+  auto& q = env_.queue;
+  auto over = std::make_shared<bool>(false);
+  Answer unanswered{q.now(), q.now(), node, id, ask, 0, {}, 0};
+  auto finish = [this, over, then](Answer a) {
+    if (std::exchange(*over, true)) return;
+    a.at_s = env_.queue.now();
+    on_answer(a);
+    if (then) then(a);
+  };
+  q.after(ask == Ask::kStatus ? kStatusTimeout : kTimeout, [finish, unanswered] { finish(unanswered); });
+  auto reply = [this, node, finish, unanswered](const net::Response& r) {
+    if (env_.network.way_to_user(node)) return;
+    auto a = unanswered;
+    a.status = r.status;
+    a.state = parse_state(r);
+    a.retry_after_s = r.retry_after_s.value_or(0);
+    env_.queue.after(env_.queue.uniform(0.0002, 0.001), [finish, a] { finish(a); });
+  };
+  if (env_.network.way_to_user(node)) return;
+  q.after(q.uniform(0.0002, 0.001), [this, node, finish, unanswered, reply,
+                                     r = render(id, ask, std::move(body))] {
+    if (!env_.network.up(node)) return finish(unanswered);
+    env_.network.run(node, Await::kUser, [this, node, r, reply] { env_.controller(node).on_user(r, reply); });
+  });
+}
+
+void Users::on_answer(const Answer& a) {
+  rules_.on_answer(a);
+  answers_.push_back(a);
+  auto it = books_.jobs.find(a.job);
+  if (it == books_.jobs.end() || !a.ok()) return;
+  auto& j = it->second;
+  bool news = !j.accepted;
+  j.accepted = true;
+  if (a.state == wire::JobState::kCancelled && !j.cancelled) {
+    j.cancelled = a.at_s;
+    news = true;
+  }
+  if (news) look_closely_at(a.job);
+}
+
+void Users::on_all_done(const JobId& id) {
+  look_closely_at(id);
+  if (cancel_at_end_.hits(env_.queue)) cancel_until_told(id);
+}
+
+// At all controllers, again and again; some repeat the submission, some cancel at once.
+void Users::look_closely_at(const JobId& id) {
+  auto& q = env_.queue;
+  if (q.now() >= close_looks_until_) return;
+  for (int round = 0; round < 4; ++round)
+    for (int n = 0; n < kControllers; ++n) q.after(q.uniform(0, 0.03), [this, id, n] { poll(n, id); });
+  q.after(q.uniform(0, 0.03),
+          [this, id, n = q.draw_below(kControllers)] { submit(n, *books_.jobs.at(id).spec); });
+  if (q.chance(0.1)) q.after(q.uniform(0, 0.02), [this, id] { cancel_until_told(id); });
+}
+
+int Users::drawn_node() {
+  int n = env_.queue.draw_below(kControllers);
+  for (int i = 0; i < kControllers; ++i, n = (n + 1) % kControllers)
+    if (env_.network.up(n) && env_.controller(n).ready() && !env_.network.way_to_user(n)) return n;
+  return n;
+}
+
+wire::JobSpec Users::next_spec(std::uint32_t tasks) {
   wire::JobSpec s;
+  int i = next_job_++;
   s.id = JobId("run-" + std::to_string(i));
   s.job_class = "c";
-  s.team = Team(i % 2 ? "blue" : "green");
-  s.kind = i % 3 == 0 ? JobKind::kService : JobKind::kArray;
-  s.priority = s.kind == JobKind::kService ? Priority::kHigh : Priority::kNormal;
-  s.tasks = s.kind == JobKind::kService ? 1 + static_cast<std::uint32_t>(i % 2)
-                                        : 5 + static_cast<std::uint32_t>(env_.queue.draw() % 30);
+  s.team = teams()[static_cast<std::size_t>(i) % teams().size()];
+  s.tasks = tasks;
   s.each = {1, 0, 1};
   s.image = ImageName("img-" + std::to_string(i % 3));
   s.image_gb = 1;
   s.estimate_s = 3;
+  return s;
+}
+
+wire::JobSpec Users::drawn_spec(int i) {
+  auto s = next_spec(5 + static_cast<std::uint32_t>(env_.queue.draw_below(30)));
+  s.id = JobId("run-" + std::to_string(i));
+  s.team = teams()[static_cast<std::size_t>(i) % teams().size()];
+  if (i % 3 == 0) {
+    s.kind = JobKind::kService;
+    s.priority = Priority::kHigh;
+    s.tasks = 1 + static_cast<std::uint32_t>(i % 2);
+  } else if (i % 4 == 2) {
+    s.tasks = 2 + static_cast<std::uint32_t>(i % 2);  // two or three, which end far apart
+  }
   if (i % 5 == 1) s.zone = Zone("west");
+  if (i % 7 == 3) s.one_zone = true;
+  if (i % 7 == 5) s.spread = true;
   return s;
 }
 
 void Users::submit_drawn(int i) {
-  JobId id("run-" + std::to_string(i));
-  auto& j = books_.jobs[id];
-  if (!j.spec) {
-    j.spec = std::make_shared<const wire::JobSpec>(drawn_spec(i));
-    j.submitted = env_.queue.now();
-  }
-  int n = static_cast<int>(env_.queue.draw() % kControllers);
-  if (!env_.network.up(n) || !env_.controller(n).ready())
-    return env_.queue.after(1, [this, i] { submit_drawn(i); });
-  auto spec = *j.spec;
-  if (env_.options.mistake == Mistake::kZoneIgnored) spec.zone.reset();
-  store::JobRecord record{std::make_shared<const wire::JobSpec>(spec), env_.queue.wall()};
-  wire::Txn t{{{store::job_key(id), Revision()}, {store::end_key(id), Revision()}},
-              {{store::job_key(id), store::to_json(record), std::nullopt}}};
-  auto life = env_.network.life(n);
-  auto answered = std::make_shared<bool>(false);
-  using Result = StateService::Result;
-  env_.state.txn(n, t,
-                 [answered](Result r, Revision) { *answered = r == Result::kOk || r == Result::kConflict; });
-  env_.queue.after(kSubmitWait, [this, i, n, life, answered, id] {
-    if (!*answered || !env_.network.up(n) || env_.network.life(n) != life) return submit_drawn(i);
-    books_.jobs.at(id).accepted = true;
-    if (i % 6 == 4 || (i % 3 == 0 && i % 2))
-      env_.queue.after(env_.queue.uniform(1, 40), [this, id] { cancel_drawn(id); });
-  });
+  auto spec = drawn_spec(i);
+  bool cancelled = i % 6 == 4 || (i % 3 == 0 && i % 2);
+  std::optional<double> run_s;
+  if (spec.kind == JobKind::kArray && i % 4 == 1) run_s = env_.queue.uniform(15, 40);
+  submit_until_accepted(spec, run_s, cancelled ? env_.queue.uniform(1, 40) : 0);
 }
 
-void Users::cancel_drawn(const JobId& id) {
-  int n = static_cast<int>(env_.queue.draw() % kControllers);
-  env_.queue.after(kCancelWait, [this, id] {
-    const auto* end = env_.state.find(store::end_key(id));
-    if (!end) return cancel_drawn(id);
-    if (store::parse_ending(end->value).end == store::End::kCancelled)
-      books_.jobs.at(id).cancelled = env_.queue.now();
-  });
-  if (!env_.network.up(n) || !env_.controller(n).view().job(id)) return;
-  wire::Txn t{
-      {{store::end_key(id), Revision()}, {store::job_key(id), env_.controller(n).view().job(id)->created}},
-      {{store::end_key(id), store::to_json(store::Ending{store::End::kCancelled, 0}), std::nullopt}}};
-  env_.state.txn(n, t, [](StateService::Result, Revision) {});
+void Users::submit_small() {
+  bool cancelled = env_.queue.chance(0.25);
+  submit_until_accepted(next_spec(1), std::nullopt, cancelled ? env_.queue.uniform(0.05, 6) : 0);
 }
 
-void Users::submit(int node, const wire::JobSpec& spec, std::optional<double> run_s) {
-  auto& j = books_.jobs[spec.id];
-  if (!j.spec) {
-    j.spec = std::make_shared<const wire::JobSpec>(spec);
-    j.run_s = run_s;
-    j.submitted = env_.queue.now();
+void Users::fill_limits() {
+  for (const auto& team : teams()) {
+    auto s = next_spec(static_cast<std::uint32_t>(kTeamCpus) + 10);
+    s.team = team;
+    submit_until_accepted(s, env_.queue.uniform(4, 10), 0);
   }
-  request(node, spec.id, Ask::kSubmit);
 }
 
-void Users::poll(int node, const JobId& id) {
-  request(node, id, Ask::kStatus);
+// `cancel_after_s`: after it was accepted; 0: not.
+void Users::submit_until_accepted(const wire::JobSpec& spec, std::optional<double> run_s,
+                                  double cancel_after_s) {
+  submit(drawn_node(), spec, run_s, [this, spec, run_s, cancel_after_s](const Answer& a) {
+    if (!a.ok())
+      return env_.queue.after(std::max(kRetry, a.retry_after_s), [this, spec, run_s, cancel_after_s] {
+        submit_until_accepted(spec, run_s, cancel_after_s);
+      });
+    if (cancel_after_s > 0) env_.queue.after(cancel_after_s, [this, id = spec.id] { cancel_until_told(id); });
+    poll_on(spec.id);
+  });
 }
 
-void Users::cancel(int node, const JobId& id) {
-  request(node, id, Ask::kCancel);
+void Users::cancel_until_told(const JobId& id) {
+  cancel(drawn_node(), id, [this, id](const Answer& a) {
+    if (!a.ok()) env_.queue.after(std::max(kRetry, a.retry_after_s), [this, id] { cancel_until_told(id); });
+  });
 }
 
-void Users::request(int node, const JobId& id, Ask ask) {
-  auto& q = env_.queue;
-  auto answered = std::make_shared<bool>(false);
-  Answer a{q.now(), q.now(), node, id, ask, 0, {}};
-  q.after(kTimeout, [this, answered, a]() mutable {
-    if (*answered) return;
-    *answered = true;
-    a.at_s = env_.queue.now();
-    on_answer(a);
+void Users::poll_on(const JobId& id) {
+  poll(drawn_node(), id, [this, id](const Answer& a) {
+    double wait = a.final() ? kPollPeriodOver : kPollPeriod;
+    env_.queue.after(wait, [this, id] { poll_on(id); });
   });
-  auto reply = [this, answered, a](int status, std::optional<wire::JobState> state) mutable {
-    env_.queue.after(env_.queue.uniform(0.0002, 0.001), [this, answered, a, status, state]() mutable {
-      if (*answered) return;
-      *answered = true;
-      a.at_s = env_.queue.now();
-      a.status = status;
-      a.state = state;
-      on_answer(a);
+}
+
+std::vector<MachineName> Users::cancel_now(int count) {
+  std::vector<JobId> long_to_go;
+  for (const auto& [id, j] : books_.jobs) {
+    bool runs = false;
+    books_.each_task(id, [&](const Machine&, const auto&, const Task& t) {
+      runs |= t.on_machine() && (j.spec->kind == JobKind::kService || t.ends - env_.queue.now() > 2);
     });
-  };
-  q.after(q.uniform(0.0002, 0.001), [this, node, id, ask, reply]() mutable {
-    if (!env_.network.up(node)) return reply(0, std::nullopt);
-    auto& c = env_.controller(node);
-    if (ask == Ask::kSubmit) return c.submit(*books_.jobs.at(id).spec, reply);
-    if (ask == Ask::kStatus) return c.status(id, reply);
-    c.cancel(id, reply);
-  });
+    if (runs && j.accepted && !j.cancel_asked) long_to_go.push_back(id);
+  }
+  std::vector<MachineName> there;
+  for (int i = 0; i < count && !long_to_go.empty(); ++i) {
+    auto chosen = long_to_go.begin() + env_.queue.draw_below(static_cast<int>(long_to_go.size()));
+    auto id = *chosen;
+    long_to_go.erase(chosen);
+    books_.each_task(id, [&](const Machine& m, const auto&, const Task& t) {
+      if (t.on_machine()) there.push_back(m.name);
+    });
+    env_.queue.after(env_.queue.uniform(0, 0.2), [this, id] { cancel_until_told(id); });
+  }
+  return there;
+}
+
+std::optional<JobId> Users::drawn_job() {
+  if (books_.jobs.empty()) return std::nullopt;
+  return std::next(books_.jobs.begin(), env_.queue.draw_below(static_cast<int>(books_.jobs.size())))->first;
 }
 
-void Users::on_answer(Answer a) {
-  auto j = books_.jobs.find(a.job);
-  if (j != books_.jobs.end()) {
-    bool ok = a.status == 200 || a.status == 201;
-    if (ok) j->second.accepted = true;
-    if (ok && a.state == wire::JobState::kCancelled && !j->second.cancelled) j->second.cancelled = a.at_s;
+void Users::odd_request() {
+  auto id = drawn_job();
+  switch (env_.queue.draw_below(4)) {
+    case 0:
+      if (id) submit(drawn_node(), *books_.jobs.at(*id).spec);
+      return;
+    case 1:
+      if (id && books_.jobs.at(*id).done.size() == books_.jobs.at(*id).spec->tasks) cancel(drawn_node(), *id);
+      return;
+    case 2: {
+      JobId unknown("run-" + std::to_string(900000 + env_.queue.draw_below(1000)));
+      if (env_.queue.chance(0.5)) return cancel(drawn_node(), unknown);
+      return poll(drawn_node(), unknown);
+    }
+    case 3:
+      return odd_submission();
+  }
+}
+
+// Of a job that can't run, or that lacks a field: it's not in the books, and must not be accepted.
+void Users::odd_submission() {
+  auto spec = next_spec(4);
+  bool lacks = env_.queue.chance(0.4);
+  if (env_.queue.chance(0.5)) {
+    spec.kind = JobKind::kService;
+    spec.tasks = static_cast<std::uint32_t>(kTeamCpus) + 1;
+  } else if (env_.queue.chance(0.5)) {
+    spec.each.cpus = kMachineCpus + 1;
+  } else {
+    spec.team = Team("nobody");
+  }
+  auto body = wire::job_to_json(spec);
+  if (lacks) {
+    auto lacking = body;
+    lacking.erase(std::next(lacking.begin(), env_.queue.draw_below(3)));
+    // Without a field it's malformed, unless that may be null.
+    try {
+      wire::parse_job(lacking);
+    } catch (const wire::WireError&) {
+      body = lacking;
+    }
   }
-  answers_.push_back(std::move(a));
+  request(drawn_node(), spec.id, Ask::kSubmit, body.dump(), {});
 }
 
 }  // namespace beaconsill::sim
--- a/tests/sim/users.h
+++ b/tests/sim/users.h
@@ -1,50 +1,69 @@
-// The users: they submit jobs, cancel some, ask for them, and remember what they were told.
+// The users: they submit jobs, cancel some, ask for them, and remember what they were told. Requests go
+// through the users' endpoints of `api` in the form that the protocol gives them.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <vector>
 
-#include "sim/books.h"
 #include "sim/environment.h"
 
 namespace beaconsill::sim {
 
-enum class Ask { kSubmit, kStatus, kCancel };
-
-// An answer to a user's request.
-struct Answer {
-  double sent_s = 0;
-  double at_s = 0;
-  int node = 0;
-  JobId job;
-  Ask ask = Ask::kSubmit;
-  int status = 0;  // of HTTP; 0: no connection or no answer
-  std::optional<wire::JobState> state;
-};
-
 class Users {
  public:
-  Users(Environment& env, Books& books) : env_(env), books_(books) {}
+  using OnAnswer = std::function<void(const Answer&)>;
+  Users(Environment& env, Books& books, Rules& rules) : env_(env), books_(books), rules_(rules) {}
+
+  // ---- Requests, each sent now
+  void submit(int node, const wire::JobSpec& spec, std::optional<double> run_s = {}, OnAnswer then = {});
+  void poll(int node, const JobId& id, OnAnswer then = {});
+  void cancel(int node, const JobId& id, OnAnswer then = {});
+  const std::vector<Answer>& answers() const { return answers_; }
 
   // ---- Drawn users
-  // A drawn job is submitted at a drawn controller until it's accepted; some are cancelled later.
+  // A drawn job is submitted until it's accepted, polled until it's over, and perhaps cancelled meanwhile.
   void submit_drawn(int i);
+  // A job of one task.
+  void submit_small();
+  // For each team one array larger than its limit.
+  void fill_limits();
+  // Cancels so many jobs that run and have long to go, within a fifth of a second. Returns the machines that
+  // run them.
+  std::vector<MachineName> cancel_now(int count);
+  // Repeated submissions, cancellations of jobs that are over, jobs that can't run or lack a field, questions
+  // about jobs that nobody submitted.
+  void odd_request();
 
-  // ---- Scripted users. Each sends one request, now.
-  void submit(int node, const wire::JobSpec& spec, std::optional<double> run_s);
-  void poll(int node, const JobId& id);
-  void cancel(int node, const JobId& id);
-  const std::vector<Answer>& answers() const { return answers_; }
+  // ---- Troubles
+  // Users ask at all controllers within milliseconds after a job was accepted, ended or cancelled.
+  void look_closely(double until) { close_looks_until_ = until; }
+  // That share of the jobs that end is cancelled at the moment of the end.
+  void cancel_at_end(Window w) { cancel_at_end_ = w; }
+  // The last task of the job has completed.
+  void on_all_done(const JobId& id);
 
  private:
   wire::JobSpec drawn_spec(int i);
-  void cancel_drawn(const JobId& id);
-  void request(int node, const JobId& id, Ask ask);
-  void on_answer(Answer a);
+  wire::JobSpec next_spec(std::uint32_t tasks);
+  void submit_until_accepted(const wire::JobSpec& spec, std::optional<double> run_s, double cancel_after_s);
+  void cancel_until_told(const JobId& id);
+  void poll_on(const JobId& id);
+  void look_closely_at(const JobId& id);
+  void odd_submission();
+  std::optional<JobId> drawn_job();
+  // A controller that a load balancer would choose.
+  int drawn_node();
+  void request(int node, const JobId& id, Ask ask, std::string body, OnAnswer then);
+  void on_answer(const Answer& a);
 
   Environment& env_;
   Books& books_;
+  Rules& rules_;
   std::vector<Answer> answers_;
+  int next_job_ = 1000;
+  double close_looks_until_ = 0;
+  Window cancel_at_end_;
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/workers.cpp
+++ b/tests/sim/workers.cpp
@@ -2,20 +2,20 @@
 
 namespace beaconsill::sim {
 namespace {
-constexpr double kNoAnswer = 4.9;  // a worker waits so long for an answer, and 1 s before the next node
-constexpr double kNextNode = 1;
+constexpr double kReportTimeout = 4;
+constexpr double kNextNode = 1;  // a worker waits so long before it tries the next one
 constexpr double kCommandTimeout = 2;
 }  // namespace
 
 Workers::Workers(EventQueue& queue, Network& network, Books& books, Rules& rules, Outcome& outcome,
-                 const Options& options, Answer answer)
+                 const Options& options, Hooks hooks)
     : queue_(queue),
       network_(network),
       books_(books),
       rules_(rules),
       outcome_(outcome),
       options_(options),
-      answer_(std::move(answer)) {}
+      hooks_(std::move(hooks)) {}
 
 void Workers::on_added(const MachineName& m) {
   queue_.after(queue_.uniform(0, 1), [this, m] { report(m); });
@@ -66,11 +66,16 @@
     if (t.running && job.spec->kind == JobKind::kArray && now >= t.ends) {
       t.ended = true;
       t.cause = wire::EndCause::kDone;
-      job.done.insert(key.first.index);
+      on_done(key.first.job, job, key.first.index);
     }
   }
 }
 
+void Workers::on_done(const JobId& id, Job& job, std::uint32_t index) {
+  if (!job.done.insert(index).second || job.done.size() < job.spec->tasks) return;
+  queue_.after(0, [this, id] { hooks_.all_done(id); });
+}
+
 void Workers::report(const MachineName& name) {
   auto* m = books_.machine(name);
   if (!m) return;
@@ -78,28 +83,52 @@
   if (queue_.now() < m->hangs_until || m->in_flight) return;
   auto r = compose(*m);
   m->in_flight = true;
-  double sent = queue_.now();
-  auto session = m->session;
   int to = m->node;
-  if (queue_.mishap(0.04)) copy_later(r);
-  if (!network_.up(to)) return report_over(name, kNextNode, (to + 1) % kControllers);
-  queue_.after(queue_.uniform(0.001, 0.01), [this, name, r, to, sent, session] {
-    if (!network_.up(to)) return report_over(name, kNextNode, (to + 1) % kControllers);
-    on_reply(name, to, sent, session, answer_(to, r));
+  int next = (to + 1) % kControllers;
+  if (queue_.now() < m->mute_until || !network_.up(to)) return report_over(name, kNextNode, next);
+  if (network_.way_to_worker(to, m->zone)) return report_over(name, kReportTimeout + kNextNode, next);
+  if (queue_.mishap(0.04) || copies_.hits(queue_)) copy_later(r);
+  if (for_next_.hits(queue_)) kept_.push_back(r);
+  send_report(name, to, r);
+}
+
+void Workers::send_report(const MachineName& name, int to, const wire::Report& r) {
+  double sent = queue_.now();
+  auto session = r.session.value();
+  auto answered = std::make_shared<bool>(false);
+  auto reply = [this, name, to, sent, session, answered](const ReportReply& x) {
+    queue_.after(queue_.uniform(0.0005, 0.003), [this, name, to, sent, session, answered, x] {
+      if (std::exchange(*answered, true)) return;
+      on_reply(name, to, sent, session, x);
+    });
+  };
+  queue_.after(kReportTimeout, [this, name, to, answered] {
+    if (!std::exchange(*answered, true)) report_over(name, kNextNode, (to + 1) % kControllers);
+  });
+  queue_.after(queue_.uniform(0.0005, 0.007), [this, to, r, reply] {
+    network_.run(to, Await::kReport, [this, to, r, reply] { hooks_.report(to, r, reply); });
   });
 }
 
 // Copies come late, also to controllers that the worker never reported to.
 void Workers::copy_later(const wire::Report& r) {
-  int where = static_cast<int>(queue_.draw() % kControllers);
-  queue_.after(queue_.uniform(0.5, 25), [this, r = wire::Report(r), where]() mutable {
-    if (auto* m = books_.machine(r.machine); m && options_.mistake == Mistake::kCopiesAreNews) {
-      r.session = Session(m->session);
-      r.sequence = Sequence(++m->sequence);
-      r.token = Token(m->token);
-    }
-    if (network_.up(where)) answer_(where, r);
-  });
+  int where = queue_.draw_below(kControllers);
+  queue_.after(queue_.uniform(0.5, 25), [this, r, where] { deliver_copy(where, r); });
+}
+
+void Workers::deliver_copy(int node, wire::Report r) {
+  if (auto* m = books_.machine(r.machine); m && options_.mistake == Mistake::kCopiesAreNews) {
+    r.session = Session(m->session);
+    r.sequence = Sequence(++m->sequence);
+    r.token = Token(m->token);
+  }
+  network_.run(node, Await::kReport, [this, node, r] { hooks_.report(node, r, [](const ReportReply&) {}); });
+}
+
+void Workers::on_new_leader() {
+  for (const auto& r : std::exchange(kept_, {}))
+    for (int n = 0; n < kControllers; ++n)
+      queue_.after(queue_.uniform(0, 1), [this, n, r] { deliver_copy(n, r); });
 }
 
 void Workers::report_over(const MachineName& name, double wait, int next_node) {
@@ -117,10 +146,11 @@
   if (!m) return;
   double now = queue_.now();
   int next = (node + 1) % kControllers;
-  if (now < m->deaf_until || queue_.mishap(0.002)) return report_over(name, kNoAnswer, next);
+  bool lost = now < m->deaf_until || network_.way_to_worker(node, m->zone) || queue_.mishap(0.002);
+  if (lost) return report_over(name, sent + kReportTimeout + kNextNode - now, next);
   if (!reply.answer) {
     bool told_where = reply.redirect >= 0 && reply.redirect != node;
-    return report_over(name, 0.3, told_where ? reply.redirect : next);
+    return report_over(name, told_where ? 0.3 : kNextNode, told_where ? reply.redirect : next);
   }
   report_over(name, 0.001, -1);
   if (now < m->hangs_until || m->session != session || reply.answer->token.value() < m->token) return;
@@ -131,27 +161,45 @@
   for (const auto& c : reply.answer->commands) obey(*m, c);
 }
 
-void Workers::command(const part::Part::Batch& b, std::function<void(std::optional<CommandReply>)> done) {
+void Workers::command(int node, const part::Part::Batch& b,
+                      std::function<void(std::optional<CommandReply>)> done) {
+  auto none = [this, done] { queue_.after(kCommandTimeout, [done] { done(std::nullopt); }); };
   auto* m = books_.machine(b.machine);
   if (!m || queue_.now() < m->deaf_until || queue_.mishap(0.01)) {
     // Held up on the way, it may still arrive, minutes late.
-    if (queue_.mishap(0.5)) queue_.after(queue_.uniform(0.5, 60), [this, b] { carry_out(b); });
-    return queue_.after(kCommandTimeout, [done] { done(std::nullopt); });
+    if (queue_.mishap(0.5)) carry_out_later(queue_.uniform(0.5, 60), b);
+    return none();
+  }
+  if (auto cut = network_.way_to_worker(node, m->zone)) {
+    if (cut->hold) carry_out_later(cut->until - queue_.now() + queue_.uniform(0, 0.5), b);
+    return none();
   }
   if (queue_.now() < m->hangs_until) {
-    queue_.at(m->hangs_until, [this, b] { carry_out(b); });
-    return queue_.after(kCommandTimeout, [done] { done(std::nullopt); });
+    carry_out_later(m->hangs_until - queue_.now(), b);
+    return none();
+  }
+  if (late_commands_.hits(queue_)) {
+    carry_out_later(queue_.uniform(2, 16), b);
+    return none();
   }
-  queue_.after(queue_.uniform(0.001, 0.01), [this, b, done] {
+  queue_.after(queue_.uniform(0.001, 0.01), [this, b, done, none] {
     auto r = carry_out(b);
-    if (!r || queue_.mishap(0.01)) return queue_.after(kCommandTimeout, [done] { done(std::nullopt); });
+    if (!r || queue_.mishap(0.01)) return none();
     queue_.after(0.005, [done, r] { done(r); });
   });
 }
 
+void Workers::carry_out_later(double d, const part::Part::Batch& b) {
+  queue_.after(d, [this, b] { carry_out(b); });
+}
+
 std::optional<CommandReply> Workers::carry_out(const part::Part::Batch& b) {
   auto* m = books_.machine(b.machine);
-  if (!m || queue_.now() < m->hangs_until || queue_.now() < m->deaf_until) return std::nullopt;
+  if (!m || queue_.now() < m->deaf_until) return std::nullopt;
+  if (queue_.now() < m->hangs_until) {
+    carry_out_later(m->hangs_until - queue_.now(), b);
+    return std::nullopt;
+  }
   advance(*m);
   bool ok = b.token.value() >= m->token && b.session.value() == m->session;
   if (ok) {
@@ -171,9 +219,10 @@
     t.ends = t.ready + books_.jobs.at(c.task.job).run_s.value_or(queue_.uniform(0.5, 6));
     ++outcome_.started;
     // Time passes between reports as well.
-    queue_.at(t.ready + 0.001, [this, name = m.name] {
-      if (auto* x = books_.machine(name)) advance(*x);
-    });
+    for (double when : {t.ready, t.ends})
+      queue_.at(when + 0.001, [this, name = m.name] {
+        if (auto* x = books_.machine(name)) advance(*x);
+      });
   } else if (c.op == wire::Command::Op::kStop && it != m.tasks.end() && !it->second.ended) {
     it->second.ended = true;
     it->second.cause = wire::EndCause::kStopped;
--- a/tests/sim/workers.h
+++ b/tests/sim/workers.h
@@ -2,11 +2,12 @@
 #pragma once
 
 #include <functional>
+#include <vector>
 
 #include "part/part.h"
 #include "sim/books.h"
-#include "sim/cloud.h"
 #include "sim/network.h"
+#include "sim/options.h"
 #include "sim/rules.h"
 
 namespace beaconsill::sim {
@@ -25,26 +26,45 @@
 
 class Workers {
  public:
-  using Answer = std::function<ReportReply(int node, const wire::Report&)>;
+  using Reply = std::function<void(const ReportReply&)>;
+  struct Hooks {
+    // A report reached a controller.
+    std::function<void(int node, const wire::Report&, Reply)> report;
+    // The last task of a job has completed.
+    std::function<void(const JobId&)> all_done;
+  };
   Workers(EventQueue& queue, Network& network, Books& books, Rules& rules, Outcome& outcome,
-          const Options& options, Answer answer);
+          const Options& options, Hooks hooks);
 
   // A new worker begins to report.
   void on_added(const MachineName& m);
   // Lets everything happen that is due on the machines.
   void advance_all();
-  // Direct commands; `done` gets none if there was no answer.
-  void command(const part::Part::Batch& b, std::function<void(std::optional<CommandReply>)> done);
+  // Direct commands of a controller; `done` gets none if there was no answer.
+  void command(int node, const part::Part::Batch& b, std::function<void(std::optional<CommandReply>)> done);
+
+  // ---- Troubles
+  // Of that share of reports a copy arrives again, up to well over a lease later.
+  void copy_reports(Window w) { copies_ = w; }
+  // The same, but the copies are kept until there is a new leader, and then reach every controller.
+  void keep_copies_for_next(Window w) { for_next_ = w; }
+  void on_new_leader();
+  // That share of direct commands is held up for 2 to 16 s, unanswered, and then carried out.
+  void delay_commands(Window w) { late_commands_ = w; }
 
  private:
   wire::Report compose(Machine& m);
   void advance(Machine& m);
+  void on_done(const JobId& id, Job& job, std::uint32_t index);
   void report(const MachineName& name);
+  void send_report(const MachineName& name, int to, const wire::Report& r);
   void copy_later(const wire::Report& r);
+  void deliver_copy(int node, wire::Report r);
   void report_over(const MachineName& name, double wait, int next_node);
   void on_reply(const MachineName& name, int node, double sent, std::uint64_t session,
                 const ReportReply& reply);
   std::optional<CommandReply> carry_out(const part::Part::Batch& b);
+  void carry_out_later(double d, const part::Part::Batch& b);
   void obey(Machine& m, const wire::Command& c);
 
   EventQueue& queue_;
@@ -53,7 +73,9 @@
   Rules& rules_;
   Outcome& outcome_;
   const Options& options_;
-  Answer answer_;
+  Hooks hooks_;
+  Window copies_, for_next_, late_commands_;
+  std::vector<wire::Report> kept_;
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -3,23 +3,22 @@
 namespace beaconsill::sim {
 namespace {
 
-const std::vector<Zone>& zones() {
-  static const std::vector<Zone> all{Zone("east"), Zone("west"), Zone("north")};
-  return all;
-}
-
-config::Settings settings() {
+// `mistake`: without limits jobs of any size are accepted.
+config::Settings settings(Mistake mistake) {
   config::Settings s;
-  s.node = Environment::name(0);
-  s.zone = Environment::zone(0);
-  for (int n = 1; n < kControllers; ++n) s.peers.push_back({Environment::name(n), Environment::zone(n), ""});
+  s.node = node_name(0);
+  s.zone = node_zone(0);
+  for (int n = 1; n < kControllers; ++n) s.peers.push_back({node_name(n), node_zone(n), ""});
   s.zones = zones();
+  for (const auto& team : teams())
+    s.teams.push_back({team, 8, mistake == Mistake::kNothingTooLarge ? 0 : kTeamCpus, 0, 0});
   return s;
 }
 
 std::shared_ptr<const wire::Catalogue> catalogue() {
   auto c = std::make_shared<wire::Catalogue>();
-  (*c)[MachineType("t8")] = {MachineType("t8"), {8, 0, 32}, 20, 0.5, 1, 0.5, 5, zones()};
+  (*c)[MachineType("t8")] = {
+      MachineType("t8"), {kMachineCpus, 0, kMachineMemory}, 20, 0.5, 1, 0.5, 5, zones()};
   return c;
 }
 
@@ -59,14 +58,25 @@
       network_(queue_),
       rules_(queue_, books_, outcome_, [this] { workers_.advance_all(); }),
       state_(queue_, network_, lost_answers(o.mistake), [this](const auto& w) { rules_.on_written(w); }),
-      parting_(settings()),
+      settings_(settings(o.mistake)),
+      parting_(settings_),
       workers_(queue_, network_, books_, rules_, outcome_, options_,
-               [this](int n, const auto& r) { return controller(n).on_report(r); }),
+               {[this](int n, const auto& r, auto reply) { controller(n).on_report(r, reply); },
+                [this](const auto& id) { users_.on_all_done(id); }}),
       cloud_(queue_, books_, [this](const auto& m) { workers_.on_added(m); }),
-      env_{options_, queue_,   network_, state_,      workers_,
-           cloud_,   outcome_, parting_, catalogue(), [this](int n) -> Controller& { return controller(n); }},
-      users_(env_, books_),
-      troubles_(env_, books_) {
+      env_{options_,
+           queue_,
+           network_,
+           state_,
+           workers_,
+           cloud_,
+           outcome_,
+           settings_,
+           parting_,
+           catalogue(),
+           [this](int n) -> Controller& { return controller(n); }},
+      users_(env_, books_, rules_),
+      troubles_(env_, books_, users_) {
   for (int n = 0; n < kControllers; ++n)
     controllers_[static_cast<std::size_t>(n)] = std::make_unique<Controller>(n, env_);
   for (int i = 0; i < o.machines; ++i) cloud_.add_machine();
@@ -119,9 +129,9 @@
   for (int n = 0; n < kControllers; ++n) queue_.at(0.05 * n, [this, n] { controller(n).start(); });
   for (int i = 0; i < options_.jobs; ++i)
     queue_.at(1 + queue_.uniform(0, options_.troubles_s * 0.8), [this, i] { users_.submit_drawn(i); });
-  if (options_.drawn_troubles) troubles_.draw_until(options_.troubles_s);
+  if (options_.drawn_troubles) troubles_.draw_meetings(options_.troubles_s);
   queue_.every(1, [this] {
-    rules_.look();
+    rules_.look(std::max(troubles_.over(), last_request_));
     check_served();
   });
   while (!queue_.empty() && now() < options_.end_s && outcome_.broken.empty() && outcome_.served_at == 0) {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -3,7 +3,8 @@
 // users and network. Everything happens on one queue of events, all luck comes from the seed, and the rules
 // are checked on books that no controller sees.
 //
-// Drawn schedules: `World(options).run()`. Scripted ones: nothing happens but what the test says.
+// Drawn schedules (meetings of two or three troubles, users of all kinds): `World(options).run()`. Scripted
+// ones: nothing happens but what the test says.
 //
 //   TEST(Meetings, ACancellationMeetsTheEndOfTheLeader) {
 //     World w(Options::scripted());                      // no drawn jobs, no drawn troubles, no lost
@@ -26,7 +27,13 @@
 //
 // A schedule ends when, `kCalmAfter` seconds after the last trouble and request, all jobs are served: arrays
 // and cancelled jobs are over with nothing of them running, services run in full. It breaks `forgotten` if
-// that isn't so by `Options::end_s`. The rules are checked all the time.
+// that isn't so by `Options::end_s`. The rules are checked all the time (rules.h): `ran_twice`, `quota`,
+// `wrong_place`, `ran_cancelled`, `forgotten`, `invented`, `not_done`, `went_back`; `starved`: a job waits
+// for 90 s though it could run; `accepted_bad`: a job was accepted that can't run or lacks a field.
+//
+// Controllers run the real `part`, `lead`, `store::View` and `api`; what `node` adds around them is rebuilt
+// here without sockets (controller*.cpp, heartbeats.h, mirror.h). A test may call any method of a stand-in
+// from `at`.
 #pragma once
 
 #include <array>
@@ -74,6 +81,7 @@
   // Machines on which a task of the job runs at present.
   std::vector<MachineName> running_on(const JobId& id) const;
   const std::vector<Answer>& answers() const { return users_.answers(); }
+  // The last answer to such a request.
   std::optional<Answer> last_answer(const JobId& id, Ask ask) const;
 
  private:
@@ -88,6 +96,7 @@
   Network network_;
   Rules rules_;
   StateService state_;
+  config::Settings settings_;
   part::Parting parting_;
   Workers workers_;
   Cloud cloud_;
--- a/tests/sim_script_test.cpp
+++ b/tests/sim_script_test.cpp
@@ -17,10 +17,22 @@
   auto job = array_job("run-1", 8);
   w.submit(2, job, 1);
   w.poll_all(30, job.id);
+  // Every part is at its home soon, and stays there.
+  auto terms = [&] {
+    std::vector<std::uint64_t> out;
+    for (int n = 0; n < kControllers; ++n) {
+      auto owned = w.controller(n).owned();
+      EXPECT_EQ(owned.size(), 1u) << "n" << n;
+      for (const auto& o : owned) out.push_back(o.term.value());
+    }
+    return out;
+  };
+  std::vector<std::uint64_t> early;
+  w.at(15, [&] { early = terms(); });
   auto r = w.run();
   EXPECT_TRUE(r.broken.empty()) << r.first;
   EXPECT_EQ(r.started, 8);
-  EXPECT_EQ(r.takeovers, kControllers);
+  EXPECT_EQ(terms(), early);
   EXPECT_EQ(w.last_answer(job.id, Ask::kSubmit)->status, 201);
   int told_done = 0;
   for (const auto& a : w.answers()) told_done += a.ask == Ask::kStatus && a.state == wire::JobState::kDone;
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -15,6 +15,7 @@
 
 TEST(Simulation, TheRulesHoldAndEveryJobIsServed) {
   int takeovers = 0;
+  int answered = 0;
   for (int i = 0; i < seeds; ++i) {
     Options o;
     o.seed = first + static_cast<std::uint64_t>(i);
@@ -22,8 +23,24 @@
     EXPECT_TRUE(r.broken.empty()) << "seed " << o.seed << ": " << r.first;
     EXPECT_GT(r.started, 50) << "seed " << o.seed;
     takeovers += r.takeovers;
+    answered += r.answered;
   }
   EXPECT_GT(takeovers, 5 * seeds);  // the schedules do what they are for
+  EXPECT_GT(answered, 100 * seeds);
+}
+
+// Seeds that broke a rule; what was mended has small tests of its own, named here.
+TEST(Simulation, SeedsThatBrokeARuleOnce) {
+  const std::uint64_t broke[] = {
+      24,   107, 646, 763,  // quota: Lead.AGrantWithoutAnAnswerCannotComeBesideTheNext
+      1366,                 // quota: Outcomes.BeyondTheLimitWhatWasReturnedIsGrantedAnewOnlyInPart
+  };
+  for (auto seed : broke) {
+    Options o;
+    o.seed = seed;
+    auto r = World(o).run();
+    EXPECT_TRUE(r.broken.empty()) << "seed " << seed << ": " << r.first;
+  }
 }
 
 TEST(Simulation, SeveralHundredMachines) {
@@ -41,12 +58,28 @@
   struct Case {
     Mistake mistake;
     const char* rule;
+    const char* text;  // of what was seen
   };
   const Case cases[] = {
-      {Mistake::kRegistryNotRead, "ran_twice"}, {Mistake::kCancellationUnseen, "ran_cancelled"},
-      {Mistake::kNoRoleCondition, "ran_twice"}, {Mistake::kReturnsUntold, "forgotten"},
-      {Mistake::kLimitIgnored, "quota"},        {Mistake::kDoneTooSoon, "not_done"},
-      {Mistake::kCopiesAreNews, "ran_twice"},   {Mistake::kZoneIgnored, "wrong_place"},
+      {Mistake::kRegistryNotRead, "ran_twice", ""},
+      {Mistake::kCancellationUnseen, "ran_cancelled", ""},
+      {Mistake::kNoRoleCondition, "ran_twice", ""},
+      {Mistake::kReturnsUntold, "starved", ""},
+      {Mistake::kLimitIgnored, "quota", ""},
+      {Mistake::kDoneTooSoon, "not_done", ""},
+      {Mistake::kCopiesAreNews, "ran_twice", ""},
+      {Mistake::kZoneIgnored, "wrong_place", ""},
+      {Mistake::kZonesIgnored, "wrong_place", "in another zone"},
+      {Mistake::kZonesIgnored, "wrong_place", "too many"},
+      {Mistake::kKnownUnread, "went_back", "not over any more"},
+      {Mistake::kAnswersUnread, "forgotten", "status 404"},
+      {Mistake::kOutageIsEmpty, "forgotten", "status 404"},
+      {Mistake::kKnownJudgedAgain, "forgotten", "to a repeat"},
+      {Mistake::kInventsJobs, "invented", ""},
+      {Mistake::kDoneIsCancelled, "went_back", "cancelled by nobody"},
+      {Mistake::kNothingTooLarge, "accepted_bad", ""},
+      {Mistake::kCallbackLost, "forgotten", "no question about"},
+      {Mistake::kJobPassedOver, "starved", "run-2 waits"},
   };
   for (const auto& c : cases) {
     bool found = false;
@@ -56,10 +89,11 @@
       o.seed = seed;
       o.mistake = c.mistake;
       auto r = World(o).run();
-      found = r.broken.contains(c.rule);
+      found = r.broken.contains(c.rule) && r.first.find(c.text) != std::string::npos;
       if (!r.first.empty()) seen = r.first;
     }
-    EXPECT_TRUE(found) << "mistake " << static_cast<int>(c.mistake) << ": no " << c.rule << ", but " << seen;
+    EXPECT_TRUE(found) << "mistake " << static_cast<int>(c.mistake) << ": no " << c.rule << ' ' << c.text
+                       << ", but " << seen;
   }
 }
 
