--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -24,7 +24,7 @@
 }  // namespace
 
 Api::Api(asio::io_context& io, const Clock& clock, const config::Settings& settings,
-         std::shared_ptr<store::StoreClient> store, std::shared_ptr<store::Mirror> mirror, Hooks hooks)
+         std::shared_ptr<store::TxnSink> store, std::shared_ptr<store::ViewSource> mirror, Hooks hooks)
     : clock_(clock),
       settings_(settings),
       store_(std::move(store)),
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -10,29 +10,12 @@
 #include <vector>
 
 #include "net/http_client.h"
+#include "store/access.h"
 #include "store/budget.h"
 #include "wire/store.h"
 
 namespace beaconsill::store {
 
-// How long a request waits for its share of the limits before it's given up.
-constexpr Duration kQueueWait = std::chrono::milliseconds(2500);
-
-enum class Urgency { kRole, kUser, kWork, kTidy };
-constexpr std::size_t kUrgencies = 4;
-
-enum class Outcome {
-  kOk,
-  kConflict,  // 409: nothing was changed
-  kRefused,   // not executed: an outage, a limit, or no time to send it
-  kUnknown,   // no answer: it may have been executed, or may still be
-  kBad,       // 400, 404, 410 or an answer that makes no sense
-};
-
-struct TxnResult {
-  Outcome outcome = Outcome::kRefused;
-  Revision revision;
-};
 struct ReadResult {
   Outcome outcome = Outcome::kRefused;
   int status = 0;
@@ -44,7 +27,7 @@
   double write_rps = 0;
 };
 
-class StoreClient : public std::enable_shared_from_this<StoreClient> {
+class StoreClient : public TxnSink, public std::enable_shared_from_this<StoreClient> {
  public:
   StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
               double share);
@@ -53,7 +36,7 @@
     Duration queue_wait = kQueueWait;  // what can't be sent within this time is refused
     std::function<void()> on_sent;     // called when it leaves this node: from then on it may be carried out
   };
-  void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done) {
+  void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done) override {
     txn(std::move(t), u, std::move(done), {});
   }
   void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done, TxnOptions options);
@@ -68,8 +51,7 @@
   Duration fair_gap() const { return from_seconds(2 / std::max(1.0, limits_.rps * request_share_)); }
   // How many changes could be made now with half of a second's worth left for what is more urgent.
   std::size_t spare_writes() const;
-  // How long a change of this urgency would wait now: what overload is judged by.
-  Duration write_wait(Urgency u) const;
+  Duration write_wait(Urgency u) const override;
   // False while this node is refused or gets no answers to its reads, up to the next answer. Transactions
   // without an answer don't count: the service may be well and only their answers lost.
   bool available() const { return available_; }
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -15,7 +15,7 @@
 
 namespace beaconsill::store {
 
-class Mirror : public std::enable_shared_from_this<Mirror> {
+class Mirror : public ViewSource, public std::enable_shared_from_this<Mirror> {
  public:
   // `on_change` is called after changes were applied, with what they touched.
   Mirror(asio::io_context& io, const Clock& clock, std::shared_ptr<StoreClient> client, Duration period,
@@ -23,25 +23,21 @@
   void start();
   void stop();
 
-  const View& view() const { return view_; }
-  bool ready() const { return ready_; }
+  const View& view() const override { return view_; }
+  bool ready() const override { return ready_; }
   // The view holds all changes up to this one, and more while the content is loaded anew.
   Revision revision() const { return revision_; }
   // The view holds all changes that were made before this time.
   Instant as_of() const { return as_of_; }
 
-  // Calls back once the view holds all that was written before this call; false: could not be read.
   // Calls while a read is under way share the next one.
-  void sync(std::function<void(bool)> done);
-  // False while a question could not be answered soon: the service refuses this node, or holds a read back.
-  bool answers() const;
-  // Sends a transaction. If its answer is late, reads tell whether it was applied; `done` is called with the
-  // first that is known. Without either it may still be applied later (Outcome::kUnknown).
-  void commit(wire::Txn t, Urgency u, std::function<void(TxnResult)> done, Duration queue_wait = kQueueWait);
+  void sync(std::function<void(bool)> done) override;
+  bool answers() const override;
+  void commit(wire::Txn t, Urgency u, std::function<void(TxnResult)> done,
+              Duration queue_wait = kQueueWait) override;
   // Somebody wrote this revision: look soon unless it's known.
   void nudge(Revision r);
-  // A change that this node itself made.
-  void apply_own(const wire::Txn& t, Revision r);
+  void apply_own(const wire::Txn& t, Revision r) override;
   // Ends that another controller has read: records of the state service like any other.
   void apply_cancelled(const std::vector<wire::CancelledJob>& jobs);
 
