--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -128,7 +128,7 @@
   // Jobs whose grants have to be written again, so that no unsettled transaction comes beside the next one.
   std::set<JobId> fences() const;
   // The job's grants as they are, less what was returned.
-  static Grant rewritten(const JobId& id, const Entry& e);
+  Grant rewritten(const JobId& id, const Entry& e) const;
 
   // Rooms that hold all `n` tasks of a gang: of one part if one can, else of several; empty if they can't.
   static std::vector<Room> rooms_for_gang(std::uint32_t n, std::vector<Room> rooms);
--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -123,8 +123,8 @@
   return out;
 }
 
-Lead::Grant Lead::rewritten(const JobId& id, const Entry& e) {
-  Grant g{id, {}, e.grants_version, e.told_by};
+Lead::Grant Lead::rewritten(const JobId& id, const Entry& e) const {
+  Grant g{id, {}, e.grants_version, rests_on(e)};
   g.grants.last = e.grants.last;
   for (const auto& [tasks, chunk] : e.kept) {
     g.grants.chunks.push_back(chunk);
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -150,6 +150,8 @@
 
   // `hears`: the report answers commands, so they have reached the worker.
   bool take_report(const wire::Report& r, bool hears, Instant now);
+  Batch probe_batch(Machine& m, Instant now);
+  Batch command_batch(Machine& m, Instant now);
   // All changes of a machine's tasks go through these two, which keep `where_`.
   std::pair<TaskOn&, bool> put(Machine& m, const TaskKey& key);  // whether it's new
   std::map<TaskKey, TaskOn>::iterator drop(Machine& m, std::map<TaskKey, TaskOn>::iterator t);
--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -33,54 +33,69 @@
     m.touched = false;
     effort_ += 1 + m.tasks.size();
     if (m.address.empty() || m.deleting) continue;
-    // Called on: to learn whether it hears, or, after a takeover, to be obeyed and told of its tasks at once.
-    // Otherwise a worker that an owner cut off from all but its workers still answers would not come here.
-    if (m.retry_at && now >= *m.retry_at) {
-      m.retry_at.reset();
-      m.probed = now;
-      m.probe_under_way = true;
-      m.on_sent(now);
-      touch(m);  // the channel may be idle
-      out.push_back({name, m.address, std::max(m.session, Session(1)), m.token, {}});
-      continue;
-    }
-    if (m.channel != Machine::Channel::kIdle || !m.reported) continue;
-    Batch b{name, m.address, m.session, {}, {}};
-    for (auto& [key, t] : m.tasks) {
-      if (b.commands.size() >= kMaxCommands) break;
-      if (t.start == TaskOn::Start::kQueued) {
-        auto* job = find_job(key.first.job);
-        // Cancelled between placing and sending: it never leaves this node.
-        if (!job || job->end) continue;
-        t.start = TaskOn::Start::kSent;
-        b.commands.push_back({wire::Command::Op::kStart, key.first, key.second, 0});
-      } else if (t.start == TaskOn::Start::kSettled && live(t) && t.stop_grace && !t.stop_sent) {
-        t.stop_sent = true;
-        b.commands.push_back({wire::Command::Op::kStop, key.first, key.second, *t.stop_grace});
-      } else if (!live(t) && !t.forget_sent && (t.may_forget || durable(key.first))) {
-        t.forget_sent = true;
-        b.commands.push_back({wire::Command::Op::kForget, key.first, key.second, 0});
+    bool probe_due = m.retry_at && now >= *m.retry_at;
+    bool commanded = m.channel == Machine::Channel::kIdle && m.reported;
+    if (commanded) {
+      auto b = command_batch(m, now);
+      if (!b.commands.empty()) {
+        // Commands tell as much as a probe.
+        if (probe_due) m.retry_at.reset();
+        out.push_back(std::move(b));
+        continue;
       }
     }
-    drop_if(
-        m,
-        [&](const TaskKey& key, const TaskOn& t) {
-          if (t.start != TaskOn::Start::kQueued) return false;
-          auto* job = find_job(key.first.job);
-          return !job || job->end.has_value();
-        },
-        now);
-    if (b.commands.empty()) continue;
-    // A token of its own for every batch: a copy of it that arrives late is refused.
-    m.token = m.token.raised();
-    b.token = m.token;
-    m.channel = Machine::Channel::kBusy;
-    m.on_sent(now);
-    out.push_back(std::move(b));
+    if (probe_due) out.push_back(probe_batch(m, now));
   }
   return out;
 }
 
+// An empty batch: to learn whether the machine receives commands, or, after a takeover, to be obeyed and to
+// get its report at once. Otherwise a worker that an owner cut off from all but its workers still answers
+// would not come here.
+Part::Batch Part::probe_batch(Machine& m, Instant now) {
+  m.retry_at.reset();
+  m.probed = now;
+  m.probe_under_way = true;
+  m.on_sent(now);
+  return {m.name, m.address, std::max(m.session, Session(1)), m.token, {}};
+}
+
+// What is to be sent to the machine now; without commands nothing is.
+Part::Batch Part::command_batch(Machine& m, Instant now) {
+  Batch b{m.name, m.address, m.session, {}, {}};
+  for (auto& [key, t] : m.tasks) {
+    if (b.commands.size() >= kMaxCommands) break;
+    if (t.start == TaskOn::Start::kQueued) {
+      auto* job = find_job(key.first.job);
+      // Cancelled between placing and sending: it never leaves this node.
+      if (!job || job->end) continue;
+      t.start = TaskOn::Start::kSent;
+      b.commands.push_back({wire::Command::Op::kStart, key.first, key.second, 0});
+    } else if (t.start == TaskOn::Start::kSettled && live(t) && t.stop_grace && !t.stop_sent) {
+      t.stop_sent = true;
+      b.commands.push_back({wire::Command::Op::kStop, key.first, key.second, *t.stop_grace});
+    } else if (!live(t) && !t.forget_sent && (t.may_forget || durable(key.first))) {
+      t.forget_sent = true;
+      b.commands.push_back({wire::Command::Op::kForget, key.first, key.second, 0});
+    }
+  }
+  drop_if(
+      m,
+      [&](const TaskKey& key, const TaskOn& t) {
+        if (t.start != TaskOn::Start::kQueued) return false;
+        auto* job = find_job(key.first.job);
+        return !job || job->end.has_value();
+      },
+      now);
+  if (b.commands.empty()) return b;
+  // A token of its own for every batch: a copy of it that arrives late is refused.
+  m.token = m.token.raised();
+  b.token = m.token;
+  m.channel = Machine::Channel::kBusy;
+  m.on_sent(now);
+  return b;
+}
+
 void Part::on_commands(const Batch& b, CommandResult result, const std::optional<wire::Report>& report,
                        Instant now) {
   auto it = machines_.find(b.machine);
