--- a/tests/meetings_part_test.cpp
+++ b/tests/meetings_part_test.cpp
@@ -31,7 +31,9 @@
 
 // A part with machines `a` and `b` in zone "east" and `c` in zone "west". The test composes the reports.
 struct Owner {
-  explicit Owner(std::vector<const char*> registered = {"a", "b", "c"})
+  using Names = std::vector<const char*>;
+  // `registered`: none if the registry hasn't been read yet.
+  explicit Owner(const std::optional<Names>& registered = Names{"a", "b", "c"})
       : part(PartId(0), Term(kTerm), params(), at(0)) {
     auto types = std::make_shared<wire::Catalogue>();
     (*types)[MachineType("t4")] = {MachineType("t4"),           {4, 0, 16}, 10, 0.1, 1, 0.5, 20,
@@ -47,7 +49,7 @@
       r.sequence = Sequence(100);
       r.token = Token::first_of(Term(kTerm - 1));
     }
-    registry(registered);
+    if (registered) registry(*registered);
   }
 
   void registry(const std::vector<const char*>& names, double t = 0) {
@@ -191,7 +193,7 @@
 
 // Two machines that both list it under this owner's term do run it twice: one is stopped.
 TEST(OldReportAtANewOwner, TwoTrueCopiesAreStillReducedToOne) {
-  Owner o({"a", "b"});
+  Owner o(Owner::Names{"a", "b"});
   o.grant(1, kTerm - 1, 0);
   o.workers["a"].tasks = {Owner::task(0, 11)};
   o.workers["b"].tasks = {Owner::task(0, 12)};
@@ -201,5 +203,219 @@
   EXPECT_EQ(Owner::commands(o.batches(0.7), Command::Op::kStop).size(), 1u);
 }
 
+// "Workers can't open connections to any controller, while direct commands still reach them": what is stopped
+// there is stopped by command, and nothing new is started on a machine that isn't heard.
+TEST(MuteMachine, StopsGoByCommandAndNothingStartsThere) {
+  Owner o;
+  o.settle_all(0.1);
+  o.grant(2, kTerm, 0.2);
+  o.tick(0.3);
+  o.answer_all(0.3);
+  std::string mute;
+  for (auto& [name, r] : o.workers)
+    if (!r.tasks.empty()) mute = name;
+  ASSERT_FALSE(mute.empty());
+  // From 1 s on it can't report; the others do.
+  for (double t = 1; t < 4.6; t += 0.5) {
+    for (auto& [name, r] : o.workers)
+      if (name != mute) o.report(name.c_str(), t);
+    o.tick(t);
+    o.answer_all(t);
+  }
+  auto before = o.workers[mute].tasks.size();
+  o.cancel(4.6);
+  o.tick(4.6);
+  auto batches = o.batches(4.6);
+  EXPECT_EQ(Owner::commands(batches, Command::Op::kStop).size(), before);
+  for (auto& b : batches) {
+    auto answer = o.carry_out(b);
+    o.part.on_commands(b, CommandResult::kExecuted, answer, at(4.6));
+  }
+  for (const auto& t : o.workers[mute].tasks) EXPECT_EQ(t.state, TaskState::kEnded);
+  EXPECT_EQ(o.part.running(kJob), 0u);
+}
+
+TEST(MuteMachine, GetsNoNewTasks) {
+  Owner o(Owner::Names{"a"});
+  o.report("a", 0.1);
+  o.tick(4.5);
+  o.grant(1, kTerm, 4.5);
+  o.tick(4.6);
+  EXPECT_EQ(Owner::commands(o.batches(4.6), Command::Op::kStart), std::vector<std::string>{});
+  o.report("a", 4.7);
+  o.report("a", 4.8);
+  o.tick(4.9);
+  o.answer_all(4.9);  // it's called on, and hears
+  o.tick(5.0);
+  EXPECT_EQ(Owner::commands(o.batches(5.0), Command::Op::kStart).size(), 1u);
+}
+
+// "New machines are up within two seconds and get work at once while writes lag, and the leader ends":
+// nothing starts on a machine that a successor wouldn't wait for.
+TEST(FastBoot, NothingStartsBeforeTheMachineIsSeenRegistered) {
+  Owner o(Owner::Names{});
+  o.report("a", 0.5);  // up before anything was written of it
+  o.grant(1, kTerm, 0.6);
+  for (double t = 0.7; t < 1.5; t += 0.2) {
+    o.report("a", t);
+    o.tick(t);
+    EXPECT_EQ(Owner::commands(o.batches(t), Command::Op::kStart), std::vector<std::string>{}) << t;
+    EXPECT_FALSE(o.part.unregistered().empty()) << t;
+  }
+  o.registry({"a"}, 1.6);
+  o.grant(1, kTerm, 1.6);
+  o.tick(1.7);
+  EXPECT_EQ(Owner::commands(o.batches(1.7), Command::Op::kStart).size(), 1u);
+}
+
+// The successor waits for each machine that is registered, and for no other.
+TEST(FastBoot, ASuccessorWaitsForTheRegisteredMachines) {
+  Owner o(Owner::Names{"a", "b"});
+  o.grant(1, kTerm - 1, 0);
+  o.report("a", 0.5);
+  o.report("c", 0.5);  // not registered
+  o.tick(0.6);
+  EXPECT_FALSE(o.part.rebuilt());
+  EXPECT_EQ(Owner::commands(o.batches(0.6), Command::Op::kStart), std::vector<std::string>{});
+  o.report("b", 0.7);
+  o.tick(0.8);
+  EXPECT_TRUE(o.part.rebuilt());
+  EXPECT_EQ(Owner::commands(o.batches(0.8), Command::Op::kStart).size(), 1u);
+}
+
+// "All controllers are away for longer than `lease_s`": every machine is in its next session; copies of
+// reports of the one before may come first, last or in between. Everything is started anew, once.
+TEST(AllAway, EverythingStartsAnewOnceWhateverOldCopiesCome) {
+  for (int copy_at = 0; copy_at < 4; ++copy_at) {
+    Owner o(Owner::Names{"a", "b"});
+    o.grant(2, kTerm - 1, 0);
+    for (const char* m : {"a", "b"}) o.workers[m].session = Session(2);
+    int started = 0;
+    for (int step = 0; step < 4; ++step) {
+      double t = 0.5 + step;
+      if (step == copy_at) {
+        o.late_copy("a", {Owner::task(0, 11)}, t);
+        o.late_copy("b", {Owner::task(1, 12)}, t);
+      }
+      // The first calls are made under a session that is over.
+      if (step > 0)
+        for (const char* m : {"a", "b"}) o.report(m, t + 0.1);
+      o.tick(t + 0.2);
+      for (auto& b : o.batches(t + 0.2)) {
+        bool known = b.session == o.workers.at(b.machine.value()).session;
+        started += known ? static_cast<int>(Owner::commands({b}, Command::Op::kStart).size()) : 0;
+        auto answer = known ? o.carry_out(b) : o.workers.at(b.machine.value());
+        o.part.on_commands(b, known ? CommandResult::kExecuted : CommandResult::kRejected, answer,
+                           at(t + 0.2));
+      }
+    }
+    EXPECT_EQ(started, 2) << copy_at;
+    EXPECT_EQ(o.part.running(kJob), 2u) << copy_at;
+  }
+}
+
+// A start without an answer is settled by the worker's next session: it's placed anew at once.
+TEST(AllAway, ANewSessionSettlesAStartWithoutAnAnswer) {
+  Owner o(Owner::Names{"a", "b"});
+  o.settle_all(0.1);
+  o.grant(1, kTerm, 0.2);
+  o.tick(0.3);
+  auto sent = o.batches(0.3);
+  ASSERT_EQ(sent.size(), 1u);
+  o.part.on_commands(sent[0], CommandResult::kNoAnswer, std::nullopt, at(0.4));
+  // Until then it may be there.
+  for (const char* m : {"a", "b"}) o.report(m, 0.5);
+  o.tick(0.6);
+  EXPECT_EQ(Owner::commands(o.batches(0.6), Command::Op::kStart), std::vector<std::string>{});
+  o.workers[sent[0].machine.value()].session = Session(2);
+  for (const char* m : {"a", "b"}) o.report(m, 0.7);
+  o.tick(0.8);
+  EXPECT_EQ(Owner::commands(o.batches(0.8), Command::Op::kStart).size(), 1u);
+}
+
+// "Jobs are cancelled in the seconds in which one controller's work changes hands".
+TEST(CancelInHandOver, WhateverTheNewOwnerLearnsFirst) {
+  enum class Event { kGrant, kCancel, kReport, kRegistry };
+  const std::map<Event, const char*> names{{Event::kGrant, "grant"},
+                                           {Event::kCancel, "cancel"},
+                                           {Event::kReport, "report"},
+                                           {Event::kRegistry, "registry"}};
+  std::vector<Event> order{Event::kGrant, Event::kCancel, Event::kReport, Event::kRegistry};
+  do {
+    if (std::find(order.begin(), order.end(), Event::kCancel) <
+        std::find(order.begin(), order.end(), Event::kGrant))
+      continue;  // a view that has read the end has read the grant
+    std::string what;
+    Owner o(std::nullopt);
+    o.workers["a"].tasks = {Owner::task(0, 11)};
+    double t = 0.1;
+    std::vector<std::string> starts;
+    bool cancelled = false;
+    for (auto e : order) {
+      what += std::string(names.at(e)) + " ";
+      if (e == Event::kGrant) o.grant(2, kTerm - 1, t);
+      if (e == Event::kCancel) o.cancel(t);
+      if (e == Event::kReport) o.report("a", t);
+      if (e == Event::kRegistry) o.registry({"a"}, t);
+      cancelled |= e == Event::kCancel;
+      o.tick(t + 0.05);
+      for (auto& b : o.batches(t + 0.05)) {
+        if (cancelled)
+          for (auto& s : Owner::commands({b}, Command::Op::kStart)) starts.push_back(s);
+        auto answer = o.carry_out(b);
+        o.part.on_commands(b, CommandResult::kExecuted, answer, at(t + 0.05));
+      }
+      t += 0.6;
+    }
+    for (int i = 0; i < 8; ++i, t += 0.5) {
+      o.report("a", t);
+      o.tick(t + 0.1);
+      for (auto& s : Owner::commands(o.batches(t + 0.1), Command::Op::kStart)) starts.push_back(s);
+      o.part.take_batches(at(t + 0.2));
+    }
+    EXPECT_EQ(starts, std::vector<std::string>{}) << what;
+    for (const auto& x : o.workers["a"].tasks) EXPECT_EQ(x.state, TaskState::kEnded) << what;
+    EXPECT_TRUE(o.part.finished_with(kJob)) << what;
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// A cancellation that falls between placing a task and sending its command: it never leaves the node.
+TEST(CancelInHandOver, WhatWasPlacedButNotSentIsNotStarted) {
+  Owner o;
+  o.settle_all(0.1);
+  o.grant(2, kTerm, 0.2);
+  o.tick(0.3);
+  o.cancel(0.3);
+  EXPECT_EQ(Owner::commands(o.batches(0.3), Command::Op::kStart), std::vector<std::string>{});
+  o.tick(0.5);
+  EXPECT_TRUE(o.part.finished_with(kJob));
+}
+
+// "Controllers hand over and back": commands of the owner before this one, held up on their way, are refused
+// by a worker that has seen this owner's token, and what they started before is listed.
+TEST(HandOverAndBack, ALateCommandOfTheOwnerBeforeIsSeenOrRefused) {
+  for (bool before : {true, false}) {
+    Owner o(Owner::Names{"a"});
+    o.grant(1, kTerm - 1, 0);
+    auto late = [&] {
+      auto& w = o.workers["a"];
+      auto token = Token::first_of(Term(kTerm - 1)).raised();
+      if (token < w.token) return false;
+      w.token = token;
+      w.tasks.push_back(Owner::task(0, 11));
+      return true;
+    };
+    if (before) {
+      EXPECT_TRUE(late());
+    }
+    o.report("a", 0.5);
+    if (!before) {
+      EXPECT_FALSE(late());
+    }
+    o.tick(0.6);
+    EXPECT_EQ(Owner::commands(o.batches(0.6), Command::Op::kStart).size(), before ? 0u : 1u);
+  }
+}
+
 }  // namespace
 }  // namespace beaconsill::part
--- a/tests/sim/controller_api.cpp
+++ b/tests/sim/controller_api.cpp
@@ -30,7 +30,9 @@
   };
   if (p_.view.end(id)) return answer_known(id, true, reply);
   if (p_.view.job(id)) return reread();
-  store::JobRecord record{std::make_shared<const wire::JobSpec>(spec), env_.queue.wall()};
+  auto stored = spec;
+  if (mistake(Mistake::kZoneIgnored)) stored.zone.reset();
+  store::JobRecord record{std::make_shared<const wire::JobSpec>(stored), env_.queue.wall()};
   wire::Txn t{{{store::job_key(id), Revision()}, {store::end_key(id), Revision()}},
               {{store::job_key(id), store::to_json(record), std::nullopt}}};
   env_.state.txn(n_, t, [this, t, reread, reply](Result r, Revision rev) {
--- a/tests/sim/controller_lead.cpp
+++ b/tests/sim/controller_lead.cpp
@@ -95,6 +95,8 @@
     if (job->grants.exists()) keys.push_back({store::grants_key(id), job->grants.version});
     for (const auto& [part, p] : job->progress) keys.push_back({store::progress_key(part, id), p.version});
     wire::Txn t{{{store::leader_role_key(), p_.view.leader().version}}, {}};
+    for (auto part : p_.lead->returned_by_message(id))
+      t.conditions.push_back({store::part_role_key(part), p_.view.part_role(part).version});
     for (auto& k : keys) {
       t.writes.push_back({k.key, std::nullopt, std::nullopt});
       t.conditions.push_back(k);
