--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view kCancel = "/withdraw";
 // A change that would wait longer than this for the state service's budget is refused at once.
 constexpr Duration kMaxWriteWait = std::chrono::milliseconds(1200);
+constexpr std::string_view kUnreachable = "state service not reachable";
 constexpr std::string_view kNotAcknowledged = "cancellation not yet known to all controllers";
 
 Response later(std::string_view reason, int after_s = 1) {
@@ -85,6 +86,13 @@
   return {200, wire::render_status(id, s, done, over ? 0 : hooks_.running(id))};
 }
 
+// Found on a day with an outage: requests that had to be refused waited in the queue to the state service for
+// so long that users gave up.
+void Api::read(std::function<void(bool)> done) {
+  if (mirror_->unreachable()) return done(false);
+  mirror_->sync(std::move(done));
+}
+
 bool Api::overloaded() const {
   return store_->write_wait(store::Urgency::kUser) > kMaxWriteWait;
 }
@@ -105,18 +113,19 @@
   // What was accepted once is never judged again.
   if (auto s = state(id)) {
     if (*s == wire::JobState::kDone || *s == wire::JobState::kCancelled) return answer_known(true);
-    return mirror_->sync(answer_known);
+    return read(answer_known);
   }
   auto verdict = admit(spec, settings_, hooks_.catalogue());
   if (verdict.kind != Verdict::Kind::kAccept) {
     // Another node may have accepted it, before the catalogue changed say: only what was read can tell.
-    return mirror_->sync([this, id, verdict, reply](bool fresh) {
-      if (!fresh) return reply(later("state service not reachable"));
+    return read([this, id, verdict, reply](bool fresh) {
+      if (!fresh) return reply(later(kUnreachable));
       if (auto s = state(id)) return reply(accepted(id, *s));
       if (verdict.kind == Verdict::Kind::kNever) return reply({422, wire::render_error(verdict.reason)});
       reply(later(verdict.reason, 5));
     });
   }
+  if (mirror_->unreachable()) return reply(later(kUnreachable));
   if (overloaded()) return reply(later("too many submissions", 2));
   store::JobRecord record{std::make_shared<const wire::JobSpec>(std::move(spec)), clock_.wall()};
   wire::Txn t;
@@ -133,23 +142,23 @@
       case store::Outcome::kConflict:
       case store::Outcome::kUnknown:
         // Known already, or no answer: the truth is what is stored.
-        return mirror_->sync(answer_known);
+        return read(answer_known);
       default:
-        return reply(later("state service not reachable"));
+        return reply(later(kUnreachable));
     }
   });
 }
 
 void Api::status(const JobId& id, net::HttpServer::Reply reply) {
   auto answer = [this, id, reply](bool fresh) {
-    if (!fresh) return reply(later("state service not reachable"));
+    if (!fresh) return reply(later(kUnreachable));
     if (auto s = state(id)) return reply(known(id, *s));
     reply({404, wire::render_error("no such job")});
   };
   if (!mirror_->ready()) return reply(later("starting"));
   // A final state is final; everything else is read anew, since another node may have told something newer.
   if (mirror_->view().end(id)) return answer(true);
-  mirror_->sync(answer);
+  read(answer);
 }
 
 void Api::cancel(const JobId& id, net::HttpServer::Reply reply) {
@@ -158,8 +167,8 @@
     if (mirror_->view().end(id)) return reply(known(id, *s));
     return do_cancel(id, std::move(reply));
   }
-  mirror_->sync([this, id, reply](bool fresh) {
-    if (!fresh) return reply(later("state service not reachable"));
+  read([this, id, reply](bool fresh) {
+    if (!fresh) return reply(later(kUnreachable));
     auto s = state(id);
     if (!s) return reply({404, wire::render_error("no such job")});
     if (mirror_->view().end(id)) return reply(known(id, *s));
@@ -168,6 +177,7 @@
 }
 
 void Api::do_cancel(const JobId& id, net::HttpServer::Reply reply) {
+  if (mirror_->unreachable()) return reply(later(kUnreachable));
   if (overloaded()) return reply(later("too many requests", 2));
   const auto* job = mirror_->view().job(id);
   wire::Txn t;
@@ -181,8 +191,8 @@
       return hooks_.changed(result.revision);
     }
     if (result.outcome != store::Outcome::kConflict && result.outcome != store::Outcome::kUnknown)
-      return reply(later("state service not reachable"));
-    mirror_->sync([this, id, reply](bool fresh) {
+      return reply(later(kUnreachable));
+    read([this, id, reply](bool fresh) {
       auto s = state(id);
       if (fresh && s && mirror_->view().end(id)) return reply(known(id, *s));
       reply(later("state not known"));
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -42,6 +42,9 @@
   net::Response accepted(const JobId& id, wire::JobState s) const;
   // A cancellation that another controller may not know of yet isn't told to anybody.
   bool withheld(const JobId& id, wire::JobState s) const;
+  // Calls back once the view holds all that was written before; false, at once if need be: it could not be
+  // read.
+  void read(std::function<void(bool)> done);
   bool overloaded() const;
 
   const Clock& clock_;
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -103,6 +103,7 @@
                                 me->revision_.value());
                    me->loaded_ = me->ready_ = false;
                  }
+                 me->failures_ = ok ? 0 : me->failures_ + 1;
                  if (ok) me->settle();
                  me->reading_ = false;
                  me->finish(ok);
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -26,6 +26,8 @@
   // The view holds all changes that were made before this time.
   Instant as_of() const { return as_of_; }
 
+  // Whether the last reads all failed. It goes on being read, every period.
+  bool unreachable() const { return failures_ >= kUnreachable; }
   // Calls back once the view holds all that was written before this call; false: could not be read.
   // Calls while a read is under way share the next one.
   void sync(std::function<void(bool)> done);
@@ -37,6 +39,8 @@
   void apply_cancelled(const std::vector<wire::CancelledJob>& jobs);
 
  private:
+  // A single failed read may be a loss on the way.
+  static constexpr int kUnreachable = 2;
   void load(std::string after);
   void read();
   void finish(bool ok);
@@ -56,7 +60,8 @@
   Revision nudged_;
   Instant as_of_{};
   std::vector<std::function<void(bool)>> waiting_, served_;
-  Instant begun_{};  // the last read
+  Instant begun_{};   // the last read
+  int failures_ = 0;  // reads that failed since the last one that didn't
   bool loaded_ = false;
   bool reading_ = false;
   bool ready_ = false;
--- a/tests/disclosure_test.cpp
+++ b/tests/disclosure_test.cpp
@@ -223,6 +223,28 @@
   EXPECT_EQ(f.known_until(25s), 24s);
 }
 
+TEST(Disclosure, AnEarlierVersionAcknowledgesNothingAndEndsTheCoverOfANewerOne) {
+  Fixture f;
+  f.in_touch(20s);
+  f.jobs = {cancelled(101)};
+  f.send(20s);
+  f.send(21s);
+  EXPECT_EQ(f.known_until(22s), 22s);
+  f.hear(21s, f.sequence, std::nullopt, Revision(101));
+  EXPECT_FALSE(f.may(101, 21s));       // it echoes lists that it hasn't read
+  EXPECT_EQ(f.known_until(22s), 21s);  // it doesn't keep the promises of the newer one
+}
+
+TEST(Disclosure, OnlyNodesThatHaveReadEverythingListEverything) {
+  Fixture f;
+  f.send(0s);
+  f.hear(0s, 1, says(false, true));
+  EXPECT_EQ(f.disclosure.known_until(true, kStart), Instant{});
+  f.ready = false;
+  f.hear(0s, 1, says(true, true));
+  EXPECT_EQ(f.disclosure.known_until(true, kStart), Instant{});
+}
+
 TEST(View, IndexesCancelledEnds) {
   store::View v;
   auto put = [&](const char* job, store::End end, std::uint64_t revision) {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -221,6 +221,25 @@
   w.state.down = false;
 }
 
+// Found on a day with an outage: users' requests waited in the queue to the state service until they gave up.
+TEST(EndToEnd, RequestsAreRefusedWithoutAskingAnUnreachableStateService) {
+  World w;
+  w.healthy();
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-1", "daemon", 1)).status, 201);
+  w.state.down = true;
+  w.io.run_for(std::chrono::milliseconds(1500));
+  auto before = w.state.refused_txns;
+  for (int n = 0; n < 20; ++n) {
+    EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-2", "batch", 1)).status, 503);
+    EXPECT_EQ(w.call(0, "POST", "/v1/jobs/run-1/withdraw").status, 503);
+    EXPECT_EQ(w.call(0, "GET", "/v1/jobs/run-1").retry_after_s, 1);
+  }
+  EXPECT_LT(w.state.refused_txns - before, 20);
+  w.state.down = false;
+  w.run_until([&] { return w.call(0, "GET", "/v1/jobs/run-1").status == 200; }, "it's read again");
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-2", "batch", 1)).status, 201);
+}
+
 // Found on a day when the state service failed just as a part was going home: its owner had stopped answering
 // before the change was applied, and all leases ran out.
 TEST(EndToEnd, APartThatCannotGoHomeIsStillAnswered) {
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -43,7 +43,10 @@
       doors[i] = std::make_shared<HttpServer>(
           io, any_port(), net::ServerLimits{}, [](const Request&) { return false; },
           [this, i](Request r, HttpServer::Reply reply) {
-            if (down || shut[i]) return reply({503, "{}"});
+            if (down || shut[i]) {
+              refused_txns += r.path == "/txn";
+              return reply({503, "{}"});
+            }
             reply(handle(r));
           });
       doors[i]->start();
@@ -51,6 +54,7 @@
   }
   bool down = false;           // for all
   std::array<bool, 2> shut{};  // for the node that comes by this door
+  int refused_txns = 0;
   std::array<std::shared_ptr<HttpServer>, 2> doors;
   std::map<std::string, std::pair<Json, std::uint64_t>> keys;
   // Ends a node's hold, as when it isn't renewed in time.
