--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -20,7 +20,8 @@
 
 // Two controllers in two zones, a worker in each.
 struct World {
-  World() : state(io), cloud(io) {
+  explicit World(double lease = 5, double cancel = 20)
+      : state(io), cloud(io), lease_s(lease), cancel_s(cancel) {
     spdlog::set_level(spdlog::level::err);
     // Ports that are free now; the nodes bind them a moment later.
     for (int i = 0; i < 4; ++i) {
@@ -55,8 +56,8 @@
     s.zones = {Zone("east"), Zone("west")};
     s.teams = {{Team("blue"), 0, 0, 0, 0}};
     s.report_s = 0.2;
-    s.lease_s = 5;
-    s.cancel_s = 20;
+    s.lease_s = lease_s;
+    s.cancel_s = cancel_s;
     s.state_rps = 1000;
     s.state_write_rps = 500;
     s.value_kb = 8;
@@ -135,6 +136,7 @@
   SystemClock clock;
   standin::State state;
   standin::Cloud cloud;
+  double lease_s, cancel_s;
   std::vector<net::Tcp::endpoint> ports;
   std::vector<std::unique_ptr<node::Node>> nodes;
   std::vector<std::unique_ptr<standin::Worker>> workers;
@@ -221,6 +223,36 @@
   w.state.down = false;
 }
 
+// Found on a day on which the state service refused one owner, another controller confirmed cancellations,
+// and then the state service was out for all: the first owner knew that there were some and not which, and
+// let all leases run out.
+TEST(EndToEnd, AnOwnerWithoutTheStateServiceStopsWhatWasCancelledAndNothingElse) {
+  World w(2, 6);
+  w.healthy();
+  for (auto& x : w.workers) x->services = {"run-7", "run-8"};
+  w.call(0, "POST", "/v1/jobs", World::job("run-7", "daemon", 4));
+  w.call(0, "POST", "/v1/jobs", World::job("run-8", "daemon", 4));
+  auto running = [&](const std::string& job) {
+    std::size_t n = 0;
+    for (auto& x : w.workers)
+      for (auto& t : x->tasks) n += t.state == "running" && t.id.starts_with(job + "/");
+    return n;
+  };
+  w.run_until([&] { return running("run-7") == 4 && running("run-8") == 4; }, "both services run");
+  w.state.shut[0] = true;
+  EXPECT_EQ(w.withdraw(1, "run-7").status, 200);
+  w.state.down = true;
+  w.run_until([&] { return running("run-7") == 0; }, "what was cancelled is stopped");
+  // For longer than `cancel_s` every worker is answered at least once a second.
+  for (int s = 0; s < 7; ++s) {
+    auto first = w.workers[0]->answered, second = w.workers[1]->answered;
+    w.io.run_for(std::chrono::seconds(1));
+    EXPECT_GT(w.workers[0]->answered, first) << s;
+    EXPECT_GT(w.workers[1]->answered, second) << s;
+  }
+  EXPECT_EQ(running("run-8"), 4);
+}
+
 // Found on a day with an outage: users' requests waited in the queue to the state service until they gave up.
 TEST(EndToEnd, RequestsAreRefusedWithoutAskingAnUnreachableStateService) {
   World w;
