--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -14,6 +14,7 @@
 constexpr Duration kAnswerWithin = std::chrono::milliseconds(750);
 // What can't be sent for a user by then is of no use any more.
 constexpr Duration kSendWithin = std::chrono::milliseconds(600);
+constexpr std::string_view kUnreachable = "state service not reachable";
 constexpr std::string_view kNotAcknowledged = "cancellation not yet known to all controllers";
 
 Response later(std::string_view reason, int after_s = 1) {
@@ -122,13 +123,13 @@
   if (verdict.kind != Verdict::Kind::kAccept) {
     // Another node may have accepted it, before the catalogue changed say: only what was read can tell.
     return read_now([this, id, verdict, reply](bool fresh) {
-      if (!fresh) return reply(later("state service not reachable"));
+      if (!fresh) return reply(later(kUnreachable));
       if (auto s = state(id)) return reply(accepted(id, *s));
       if (verdict.kind == Verdict::Kind::kNever) return reply({422, wire::render_error(verdict.reason)});
       reply(later(verdict.reason, 5));
     });
   }
-  if (!mirror_->answers()) return reply(later("state service not reachable"));
+  if (!mirror_->answers()) return reply(later(kUnreachable));
   if (overloaded()) return reply(later("too many submissions", 2));
   store::JobRecord record{std::make_shared<const wire::JobSpec>(std::move(spec)), clock_.wall()};
   wire::Txn t;
@@ -149,7 +150,7 @@
         // Known already, or no answer: the truth is what is stored.
         return read_now(answer_known);
       default:
-        return reply(later("state service not reachable"));
+        return reply(later(kUnreachable));
     }
   };
   mirror_->commit(t, store::Urgency::kUser, on_result, kSendWithin);
@@ -157,7 +158,7 @@
 
 void Api::status(const JobId& id, net::HttpServer::Reply reply) {
   auto answer = [this, id, reply](bool fresh) {
-    if (!fresh) return reply(later("state service not reachable"));
+    if (!fresh) return reply(later(kUnreachable));
     if (auto s = state(id)) return reply(known(id, *s));
     reply({404, wire::render_error("no such job")});
   };
@@ -174,7 +175,7 @@
     return do_cancel(id, std::move(reply));
   }
   read_now([this, id, reply](bool fresh) {
-    if (!fresh) return reply(later("state service not reachable"));
+    if (!fresh) return reply(later(kUnreachable));
     auto s = state(id);
     if (!s) return reply({404, wire::render_error("no such job")});
     if (mirror_->view().end(id)) return reply(known(id, *s));
@@ -183,7 +184,7 @@
 }
 
 void Api::do_cancel(const JobId& id, net::HttpServer::Reply reply) {
-  if (!mirror_->answers()) return reply(later("state service not reachable"));
+  if (!mirror_->answers()) return reply(later(kUnreachable));
   if (overloaded()) return reply(later("too many requests", 2));
   const auto* job = mirror_->view().job(id);
   wire::Txn t;
@@ -197,7 +198,7 @@
       return hooks_.changed(result.revision);
     }
     if (result.outcome != store::Outcome::kConflict && result.outcome != store::Outcome::kUnknown)
-      return reply(later("state service not reachable"));
+      return reply(later(kUnreachable));
     read_now([this, id, reply](bool fresh) {
       auto s = state(id);
       if (fresh && s && mirror_->view().end(id)) return reply(known(id, *s));
