Tests that each kind of trouble of the simulation comes about

A kind that does nothing would let every schedule pass. A deaf machine may be deleted before it hears again: that is as it should be, and the test allows it.

--- a/tests/sim/workers.h
+++ b/tests/sim/workers.h
@@ -49,6 +49,7 @@
   // The same, but the copies are kept until there is a new leader, and then reach every controller.
   void keep_copies_for_next(Window w) { for_next_ = w; }
   void on_new_leader();
+  std::size_t kept_copies() const { return kept_.size(); }
   // That share of direct commands is held up for 2 to 16 s, unanswered, and then carried out.
   void delay_commands(Window w) { late_commands_ = w; }
 
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -73,6 +73,7 @@
   Books& books() { return books_; }
   Network& network() { return network_; }
   StateService& state() { return state_; }
+  Workers& workers() { return workers_; }
   Cloud& cloud() { return cloud_; }
   Users& users() { return users_; }
   Controller& controller(int n) { return *controllers_[static_cast<std::size_t>(n)]; }
--- /dev/null
+++ b/tests/sim_troubles_test.cpp
@@ -0,0 +1,285 @@
+// Each kind of trouble of the simulation does what it says: one that does nothing would let every schedule
+// pass.
+#include <gtest/gtest.h>
+
+#include "base/log.h"
+#include "sim/world.h"
+
+namespace beaconsill::sim {
+namespace {
+
+class Troubled : public testing::Test {
+ protected:
+  void SetUp() override { spdlog::set_level(spdlog::level::off); }
+  // What holds at a time, to be looked at after the run.
+  void note(World& w, double at_s, const std::string& what, std::function<bool()> holds) {
+    w.at(at_s, [this, what, holds] { seen_[what] = holds(); });
+  }
+  void expect_clean(World& w) {
+    auto r = w.run();
+    EXPECT_TRUE(r.broken.empty()) << r.first;
+    for (const auto& [what, held] : seen_) EXPECT_TRUE(held) << what;
+    EXPECT_FALSE(seen_.empty());
+  }
+  static bool stored(World& w, const JobId& id) {
+    return w.state().find(store::job_key(id)) || w.state().find(store::end_key(id));
+  }
+
+  std::map<std::string, bool> seen_;
+};
+
+TEST_F(Troubled, EveryKindIsDrawn) {
+  std::set<std::string> drawn;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Options o;
+    o.seed = seed;
+    for (const auto& line : World(o).run().schedule)
+      for (int k = 0; k < kTroubleKinds; ++k)
+        if (line.find(std::string(" ") + to_string(static_cast<TroubleKind>(k)) + " for") !=
+            std::string::npos)
+          drawn.insert(to_string(static_cast<TroubleKind>(k)));
+  }
+  EXPECT_EQ(drawn.size(), static_cast<std::size_t>(kTroubleKinds));
+}
+
+TEST_F(Troubled, WritesComeLateOrAtOnceWithoutAnAnswer) {
+  auto job = array_job("run-1", 2);
+  {
+    World w(Options::scripted());
+    w.trouble({.at_s = 5, .kind = TroubleKind::kLateWrites, .for_s = 1});
+    w.submit(5.1, job, 1);
+    w.submit(20, job, 1);
+    note(w, 7, "not yet", [&] { return !stored(w, job.id); });
+    note(w, 18, "late", [&] { return stored(w, job.id); });
+    expect_clean(w);
+  }
+  seen_.clear();
+  World w(Options::scripted());
+  w.trouble({.at_s = 5, .kind = TroubleKind::kLostAnswers, .for_s = 1});
+  w.submit(5.1, job, 1);
+  note(w, 5.2, "at once", [&] { return stored(w, job.id); });
+  note(w, 5.3, "unanswered", [&] { return w.answers().empty(); });
+  note(w, 8, "read back", [&] { return w.answers().at(0).status == 200; });
+  expect_clean(w);
+}
+
+TEST_F(Troubled, TheStateServiceRefusesOneOrIsCutFromIt) {
+  World w(Options::scripted());
+  w.trouble({.at_s = 10, .kind = TroubleKind::kStateRefusesNode, .for_s = 5, .who = Who::node(1)});
+  w.trouble({.at_s = 20, .kind = TroubleKind::kNodeCutFromState, .for_s = 5, .who = Who::node(2)});
+  w.trouble({.at_s = 30, .kind = TroubleKind::kNodeCutFromStateAndPeers, .for_s = 5, .who = Who::node(0)});
+  note(w, 12, "refused",
+       [&] { return !w.state().answers(1) && w.state().answers(0) && w.state().answers(2); });
+  note(w, 12, "not cut", [&] { return !w.network().way_to_state(1); });
+  note(w, 22, "cut", [&] { return !w.state().answers(2) && w.state().answers(1); });
+  note(w, 22, "reaches the others", [&] { return !w.network().way_between(2, 0); });
+  note(w, 32, "cut off", [&] { return !w.state().answers(0) && w.network().way_between(0, 1); });
+  note(w, 32, "not from its workers", [&] { return !w.network().way_to_worker(0, Zone("east")); });
+  note(w, 36, "over", [&] { return w.state().answers(0) && !w.network().way_between(0, 1); });
+  expect_clean(w);
+}
+
+TEST_F(Troubled, AZoneIsCutOffWithItsController) {
+  World w(Options::scripted());
+  auto job = service_job("run-1", 4);
+  job.zone = Zone("west");
+  w.submit(5, job, 1);
+  w.trouble({.at_s = 20, .kind = TroubleKind::kZoneCut, .for_s = 15, .zone = Zone("west")});
+  std::vector<MachineName> before;
+  w.at(19.9, [&] { before = w.running_on(job.id); });
+  note(w, 25, "without state service", [&] { return !w.state().answers(1); });
+  note(w, 25, "without users", [&] { return w.network().way_to_user(1).has_value(); });
+  note(w, 25, "with its workers", [&] { return !w.network().way_to_worker(1, Zone("west")); });
+  note(w, 25, "others don't reach them",
+       [&] { return w.network().way_to_worker(0, Zone("west")).has_value(); });
+  note(w, 34, "runs on beyond a lease", [&] { return !before.empty() && w.running_on(job.id) == before; });
+  expect_clean(w);
+}
+
+TEST_F(Troubled, AControllerStandsStillAtOnceOrBeforeACallback) {
+  World w(Options::scripted());
+  auto job = array_job("run-1", 2);
+  w.trouble({.at_s = 10, .kind = TroubleKind::kNodeStandsStill, .for_s = 1.5, .who = Who::node(1)});
+  w.poll(10.1, JobId("run-7"), 1);
+  w.trouble({.at_s = 20,
+             .kind = TroubleKind::kNodeStandsStill,
+             .for_s = 3,
+             .who = Who::node(1),
+             .await = Await::kUser});
+  w.submit(20.5, job, 1);
+  w.poll_all(40, job.id);
+  note(w, 11.4, "no answer", [&] { return w.answers().empty(); });
+  note(w, 11.7, "answered", [&] { return w.answers().size() == 1 && w.answers()[0].status == 404; });
+  note(w, 23.4, "not stored", [&] { return !stored(w, job.id); });
+  note(w, 23.7, "stored", [&] { return stored(w, job.id); });
+  expect_clean(w);
+}
+
+TEST_F(Troubled, MachinesAreDeafMuteOrHang) {
+  World w(Options::scripted());
+  MachineName deaf("host-0"), mute("host-1"), hanging("host-2");
+  auto token = [&](const MachineName& m) { return w.books().machine(m)->token; };
+  auto reports = [&](const MachineName& m) { return w.books().machine(m)->sequence; };
+  w.trouble({.at_s = 20, .kind = TroubleKind::kMachineDeaf, .for_s = 3, .which = Which::machine(deaf)});
+  w.trouble({.at_s = 20, .kind = TroubleKind::kMachineMute, .for_s = 3, .which = Which::machine(mute)});
+  w.trouble({.at_s = 20, .kind = TroubleKind::kMachineHangs, .for_s = 3, .which = Which::machine(hanging)});
+  std::uint64_t deaf_token = 0, deaf_reports = 0, hung_reports = 0;
+  double mute_lease = 0, deaf_lease = 0;
+  w.at(20.01, [&] {
+    deaf_token = token(deaf);
+    deaf_reports = reports(deaf);
+    hung_reports = reports(hanging);
+    mute_lease = w.books().machine(mute)->lease_from;
+    deaf_lease = w.books().machine(deaf)->lease_from;
+  });
+  note(w, 22.9, "the deaf one reports", [&] { return reports(deaf) > deaf_reports; });
+  note(w, 22.9, "and gets no answer",
+       [&] { return token(deaf) == deaf_token && w.books().machine(deaf)->lease_from <= deaf_lease + 0.02; });
+  note(w, 22.9, "the mute one renews no lease",
+       [&] { return w.books().machine(mute)->lease_from <= mute_lease + 0.02; });
+  note(w, 22.9, "the hanging one does nothing", [&] { return reports(hanging) == hung_reports; });
+  // The deaf one may have been deleted: nobody knows that it would hear again.
+  auto back = [&](const MachineName& m) {
+    return w.books().machine(m) && w.books().machine(m)->lease_from > 23;
+  };
+  note(w, 30, "the mute one is back", [&] { return back(mute); });
+  note(w, 30, "the hanging one is back", [&] { return back(hanging); });
+  note(w, 30, "the deaf one is back or gone", [&] { return back(deaf) || !w.books().machine(deaf); });
+  expect_clean(w);
+}
+
+TEST_F(Troubled, CommandsAreHeldUpAndCarriedOutLate) {
+  World w(Options::scripted());
+  auto job = array_job("run-1", 2);
+  w.trouble({.at_s = 5, .kind = TroubleKind::kLateCommands, .for_s = 1.5});
+  w.submit(5.1, job, 1, 3);
+  note(w, 7, "not started", [&] { return w.running_on(job.id).empty(); });
+  expect_clean(w);
+  EXPECT_EQ(w.books().jobs.at(job.id).done.size(), 2u);
+}
+
+TEST_F(Troubled, ReportsAreKeptForTheNextLeader) {
+  World w(Options::scripted());
+  w.submit(2, service_job("run-1", 4), 1);
+  w.trouble({.at_s = 10, .kind = TroubleKind::kReportsForNext, .for_s = 5});
+  w.trouble({.at_s = 20, .kind = TroubleKind::kNodeEnds, .for_s = 3, .who = Who::leader()});
+  int leader = -1;
+  w.at(19.9, [&] { leader = w.leader().value_or(-1); });
+  note(w, 16, "kept", [&] { return w.workers().kept_copies() > 10; });
+  note(w, 19.9, "kept still", [&] { return w.workers().kept_copies() > 10; });
+  note(w, 30, "delivered", [&] { return w.workers().kept_copies() == 0; });
+  note(w, 30, "another leads", [&] { return w.leader() && w.leader() != leader; });
+  expect_clean(w);
+}
+
+TEST_F(Troubled, LeadersChangeAgainAndAgain) {
+  World w(Options::scripted());
+  w.submit(2, service_job("run-1", 4), 1);
+  w.trouble({.at_s = 10, .kind = TroubleKind::kLeadersChange, .for_s = 119, .period_s = 12});
+  auto term = [&] { return store::parse_role(w.state().find(store::leader_role_key())->value).term.value(); };
+  std::uint64_t first = 0;
+  w.at(9.9, [&] { first = term(); });
+  note(w, 135, "ten times", [&] { return term() >= first + 10; });
+  expect_clean(w);
+}
+
+TEST_F(Troubled, UsersCancelLookCloselyAndAskOddThings) {
+  World w(Options::scripted());
+  auto cut_short = array_job("run-1", 4);
+  auto ended = array_job("run-2", 2);
+  w.trouble({.at_s = 1, .kind = TroubleKind::kCloseLooks, .for_s = 30});
+  w.trouble({.at_s = 1, .kind = TroubleKind::kCancelAtEnd, .for_s = 12});
+  w.submit(2, cut_short, 1, 60);
+  w.submit(2, ended, 2, 3);
+  w.trouble({.at_s = 15, .kind = TroubleKind::kCancelNow, .for_s = 6, .count = 3});
+  w.trouble({.at_s = 40, .kind = TroubleKind::kOddRequests, .for_s = 20});
+  auto looks = [&](double from, double to) {
+    std::set<int> nodes;
+    for (const auto& a : w.answers())
+      if (a.ask == Ask::kStatus && a.sent_s >= from && a.sent_s < to) nodes.insert(a.node);
+    return nodes.size();
+  };
+  note(w, 3, "looks after the acceptance", [&] { return looks(2, 2.2) == kControllers; });
+  note(w, 12, "cancelled at its end", [&] { return w.books().jobs.at(ended.id).cancel_asked; });
+  note(w, 17, "cancelled", [&] { return w.books().jobs.at(cut_short.id).cancelled.has_value(); });
+  note(w, 17, "its machines hang", [&] {
+    return std::any_of(w.books().machines.begin(), w.books().machines.end(),
+                       [&](const auto& m) { return m.second.hangs_until > w.now(); });
+  });
+  expect_clean(w);
+  std::map<int, int> statuses;
+  for (const auto& a : w.answers())
+    if (a.sent_s > 40) ++statuses[a.status];
+  for (int status : {200, 400, 404, 422}) EXPECT_GT(statuses[status], 0) << status;
+}
+
+TEST_F(Troubled, JobsOfOneTaskAndFullLimits) {
+  World w(Options::scripted());
+  w.trouble({.at_s = 5, .kind = TroubleKind::kOneTaskJobs, .for_s = 10});
+  w.trouble({.at_s = 40, .kind = TroubleKind::kLimitsFilled});
+  auto used = [&](const Team& team) {
+    double cpus = 0;
+    for (const auto& [id, j] : w.books().jobs)
+      if (j.spec->team == team)
+        w.books().each_task(id, [&](const auto&, const auto&, const Task& t) { cpus += t.on_machine(); });
+    return cpus;
+  };
+  double most = 0;
+  for (double t = 40; t < 60; t += 0.5) w.at(t, [&] { most = std::max(most, used(teams()[0])); });
+  std::size_t cancelled = 0;
+  note(w, 30, "four a second, some cancelled", [&] {
+    for (const auto& [id, j] : w.books().jobs) cancelled += j.cancelled.has_value();
+    return w.books().jobs.size() == 40 && cancelled > 0;
+  });
+  expect_clean(w);
+  EXPECT_EQ(most, kTeamCpus);
+}
+
+TEST_F(Troubled, NewMachinesAreUpQuickly) {
+  World w(Options::scripted());
+  w.trouble({.at_s = 10, .kind = TroubleKind::kQuickMachines, .for_s = 20});
+  w.trouble({.at_s = 12, .kind = TroubleKind::kMachineEnds, .which = Which::drawn(3)});
+  auto there = [&] {
+    return std::count_if(w.books().machines.begin(), w.books().machines.end(),
+                         [](const auto& m) { return !m.second.gone; });
+  };
+  note(w, 12.1, "gone", [&] { return there() < 14; });
+  note(w, 14.1, "replaced", [&] { return there() == 14; });
+  expect_clean(w);
+}
+
+TEST_F(Troubled, MessagesBetweenControllersAreHeldLateOrLost) {
+  EventQueue queue(1, false);
+  Network network(queue);
+  for (int n = 0; n < kControllers; ++n) network.start(n);
+  std::vector<double> came;
+  auto send = [&] { network.peer(0, 1, [&] { came.push_back(queue.now()); }); };
+  auto drain = [&] {
+    while (!queue.empty()) queue.step();
+  };
+  network.cut_peers(1, {5, true});
+  send();
+  drain();
+  ASSERT_EQ(came.size(), 1u);
+  EXPECT_GE(came[0], 5);
+  network.cut_peers(1, {queue.now() + 5, false});
+  send();
+  drain();
+  EXPECT_EQ(came.size(), 1u);
+  queue.at(queue.now() + 10, [] {});
+  drain();
+  network.lose_peer_messages({queue.now() + 1, 1});
+  send();
+  drain();
+  EXPECT_EQ(came.size(), 1u);
+  network.lose_peer_messages({});
+  network.delay_peer_messages({queue.now() + 1, 1});
+  double sent = queue.now();
+  send();
+  drain();
+  ASSERT_EQ(came.size(), 3u);  // late, and once more
+  EXPECT_GT(came[1], sent + 0.4);
+}
+
+}  // namespace
+}  // namespace beaconsill::sim
