--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -29,7 +29,6 @@
   std::sort(touched.begin(), touched.end(), [](const auto* a, const auto* b) { return a->name < b->name; });
   for (auto* machine : touched) {
     auto& m = *machine;
-    const auto& name = m.name;
     m.touched = false;
     effort_ += 1 + m.tasks.size();
     if (m.address.empty() || m.deleting) continue;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -260,13 +260,13 @@
   EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-1", "daemon", 1)).status, 201);
   w.state.down = true;
   w.io.run_for(std::chrono::milliseconds(1500));
-  auto before = w.state.refused_txns;
+  auto before = w.state.refused["/txn"];
   for (int n = 0; n < 20; ++n) {
     EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-2", "batch", 1)).status, 503);
     EXPECT_EQ(w.call(0, "POST", "/v1/jobs/run-1/withdraw").status, 503);
     EXPECT_EQ(w.call(0, "GET", "/v1/jobs/run-1").retry_after_s, 1);
   }
-  EXPECT_LT(w.state.refused_txns - before, 20);
+  EXPECT_LT(w.state.refused["/txn"] - before, 20);
   w.state.down = false;
   w.run_until([&] { return w.call(0, "GET", "/v1/jobs/run-1").status == 200; }, "it's read again");
   EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-2", "batch", 1)).status, 201);
