--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -122,6 +122,7 @@
           if (a.status != 503) return true;
           EXPECT_LT(clock.now() - asked, std::chrono::seconds(1));
           EXPECT_EQ(a.retry_after_s, 1);
+          io.run_for(std::chrono::seconds(1));  // as users do
           return false;
         },
         "the cancellation is confirmed");
