--- a/src/part/estimator.cpp
+++ b/src/part/estimator.cpp
@@ -121,6 +121,7 @@
     return a.image != b.image ? a.image < b.image : a.idle < b.idle;
   });
   std::vector<Machine*> out;
+  out.reserve(found.size());
   for (const auto& f : found) out.push_back(f.machine);
   return out;
 }
--- a/src/part/machine.cpp
+++ b/src/part/machine.cpp
@@ -19,7 +19,7 @@
   }
 }
 
-const Machine::Load& Machine::load() const {
+const MachineLoad& Machine::load() const {
   if (load_) return *load_;
   load_.emplace();
   for (const auto& [key, t] : tasks) {
--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -61,6 +61,13 @@
   double capacity_gb_ = 0;
 };
 
+// What the tasks on a machine take, in sums kept for the machine.
+struct MachineLoad {
+  std::array<Resources, kPriorities> used_from;  // by tasks of at least this priority
+  std::array<std::size_t, kPriorities> tasks_from{};
+  std::set<ImageName> fetching;
+};
+
 struct Machine {
   MachineName name;
   std::string address;
@@ -126,13 +133,8 @@
   Duration quiet = std::chrono::seconds(4);  // without a report for this long it gets no new tasks
 
  private:
-  struct Load {
-    std::array<Resources, kPriorities> used_from;
-    std::array<std::size_t, kPriorities> tasks_from{};
-    std::set<ImageName> fetching;
-  };
-  const Load& load() const;
-  mutable std::optional<Load> load_;
+  const MachineLoad& load() const;
+  mutable std::optional<MachineLoad> load_;
 };
 
 }  // namespace beaconsill::part
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -160,7 +160,7 @@
     if (slot.status == Slot::Status::kDone) p.done.add(n);
     if (slot.status != Slot::Status::kReturned) continue;
     auto it = std::find_if(p.returned.begin(), p.returned.end(),
-                           [&](const auto& r) { return r.generation == slot.generation; });
+                           [&slot = slot](const auto& r) { return r.generation == slot.generation; });
     if (it == p.returned.end()) it = p.returned.insert(p.returned.end(), {slot.generation, {}});
     it->tasks.add(n);
   }
