lead: findings of clang-tidy

Structured bindings captured by lambdas, which clang 14 doesn't compile; one vector's capacity is reserved.

--- a/src/lead/capacity.cpp
+++ b/src/lead/capacity.cpp
@@ -79,9 +79,9 @@
           Kind kind{name, z, spot};
           if (!part::allowed(d.shape, name, z, spot)) continue;
           if (auto r = refused_.find(kind); r != refused_.end() && now - r->second < kRefusalMemory) continue;
-          auto ours =
-              static_cast<std::size_t>(std::count_if(listed_.begin(), listed_.end(), [&](const auto& m) {
-                return m.second.zone == z && m.second.type == name && m.second.spot == spot;
+          auto ours = static_cast<std::size_t>(
+              std::count_if(listed_.begin(), listed_.end(), [&, &type = name](const auto& m) {
+                return m.second.zone == z && m.second.type == type && m.second.spot == spot;
               }));
           Candidate c{(spot ? t.spot_price : t.price) / fits, ours, kind, fits};
           if (!best || std::tie(c.cost, c.ours) < std::tie(best->cost, best->ours)) best = c;
--- a/src/lead/lead_order.cpp
+++ b/src/lead/lead_order.cpp
@@ -32,6 +32,7 @@
   }
   if (times.empty() && spec.deadline_s) times.insert(*spec.deadline_s);
   std::vector<std::int64_t> out;
+  out.reserve(times.size());
   for (double t : times) out.push_back(submitted.value() + static_cast<std::int64_t>(t * 1000));
   return out;
 }
--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -130,7 +130,7 @@
         rooms = part::estimate(s->second, r.shapes[r.shape_of[i]], params_.rules);
       }
       std::uint32_t less = spec.each.cpus > 0 ? ceil_count(taken[part] / spec.each.cpus) : 0;
-      auto add = [&](std::vector<Room>& list, std::optional<Zone> zone, std::uint32_t n) {
+      auto add = [&, part = part](std::vector<Room>& list, std::optional<Zone> zone, std::uint32_t n) {
         if (n > 0) list.push_back({part, std::move(zone), n});
       };
       std::uint32_t part_warm = 0, part_free = 0, part_pre = 0, part_warm_pre = 0;
