--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,7 +10,7 @@
 
 namespace beaconsill::net {
 namespace {
-constexpr std::size_t kMaxResponse = 16 * 1024 * 1024;
+constexpr std::size_t kMaxResponse = std::size_t{16} * 1024 * 1024;
 }
 
 class HttpClient::Connection : public std::enable_shared_from_this<Connection> {
@@ -164,12 +164,12 @@
 };
 
 HttpClient::HttpClient(asio::io_context& io, Tcp::endpoint to, std::size_t max_connections)
-    : io_(io), to_(to), max_(max_connections), timer_(io) {}
+    : io_(io), to_(std::move(to)), max_(max_connections), timer_(io) {}
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::request(std::string method, std::string target, std::string body, Duration timeout,
-                         Callback done) {
+void HttpClient::request(const std::string& method, const std::string& target, const std::string& body,
+                         Duration timeout, Callback done) {
   Job job;
   job.text = method + ' ' + target + " HTTP/1.1\r\nHost: " + to_.address().to_string() + ':' +
              std::to_string(to_.port()) + "\r\n";
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -28,7 +28,8 @@
   using Callback = std::function<void(Result)>;
   HttpClient(asio::io_context& io, Tcp::endpoint to, std::size_t max_connections);
   ~HttpClient();
-  void request(std::string method, std::string target, std::string body, Duration timeout, Callback done);
+  void request(const std::string& method, const std::string& target, const std::string& body,
+               Duration timeout, Callback done);
   // Closes everything; requests under way are called back with no answer.
   void stop();
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -57,7 +57,7 @@
   static Connection& self(http_parser* p) { return *static_cast<Connection*>(p->data); }
 
   static const http_parser_settings& settings() {
-    static const http_parser_settings s = [] {
+    static const http_parser_settings kSettings = [] {
       http_parser_settings t;
       http_parser_settings_init(&t);
       t.on_url = [](http_parser* p, const char* at, size_t n) {
@@ -83,7 +83,7 @@
       };
       return t;
     }();
-    return s;
+    return kSettings;
   }
 
   int header_ok(std::size_t n) {
@@ -121,7 +121,7 @@
       // A paused parser has not consumed the byte that it stopped at.
       http_parser_pause(&parser_, 0);
     } else if (err != HPE_OK || parser_.upgrade) {
-      return send({refusal_ ? refusal_ : 400, "{\"error\":\"malformed request\"}", std::nullopt, true});
+      return send({refusal_ ? refusal_ : 400, R"({"error":"malformed request"})", std::nullopt, true});
     }
     pending_.erase(0, used);
     if (complete_) return handle();
@@ -138,7 +138,7 @@
     if (q != std::string::npos) request_.query = target_.substr(q + 1);
     if (server_->is_user_(request_) && !user_) {
       if (server_->users_ >= server_->limits_.max_user_connections)
-        return send({503, "{\"error\":\"too many connections\"}", 1, true});
+        return send({503, R"({"error":"too many connections"})", 1, true});
       user_ = true;
       ++server_->users_;
     }
@@ -206,7 +206,7 @@
   bool closed_ = false;
 };
 
-HttpServer::HttpServer(asio::io_context& io, Tcp::endpoint at, ServerLimits limits, IsUser is_user,
+HttpServer::HttpServer(asio::io_context& io, const Tcp::endpoint& at, ServerLimits limits, IsUser is_user,
                        Handler handler)
     : io_(io),
       acceptor_(io),
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -15,8 +15,8 @@
 struct ServerLimits {
   std::size_t max_connections = 256;       // in all; beyond it the longest idle is closed for the newcomer
   std::size_t max_user_connections = 192;  // of them, those that sent a request the handler calls a user's
-  std::size_t max_body = 64 * 1024;
-  std::size_t max_header = 16 * 1024;
+  std::size_t max_body = std::size_t{64} * 1024;
+  std::size_t max_header = std::size_t{16} * 1024;
   Duration idle = std::chrono::seconds(75);     // between two requests
   Duration receive = std::chrono::seconds(10);  // from the first byte of a request to its last
   Duration send = std::chrono::seconds(10);
@@ -30,7 +30,8 @@
   // Tells requests whose connections count against the users' cap from those of workers and probes.
   using IsUser = std::function<bool(const Request&)>;
 
-  HttpServer(asio::io_context& io, Tcp::endpoint at, ServerLimits limits, IsUser is_user, Handler handler);
+  HttpServer(asio::io_context& io, const Tcp::endpoint& at, ServerLimits limits, IsUser is_user,
+             Handler handler);
   ~HttpServer();
   void start();
   void stop();
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -8,7 +8,7 @@
 
 namespace beaconsill::net {
 namespace {
-constexpr std::size_t kMaxQueued = 2 * 1024 * 1024;
+constexpr std::size_t kMaxQueued = std::size_t{2} * 1024 * 1024;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
 constexpr Duration kConnectWait = std::chrono::seconds(1);
@@ -25,7 +25,7 @@
 }  // namespace
 
 PeerSender::PeerSender(asio::io_context& io, Tcp::endpoint to)
-    : io_(io), to_(to), socket_(io), timer_(io), backoff_(kFirstBackoff) {}
+    : io_(io), to_(std::move(to)), socket_(io), timer_(io), backoff_(kFirstBackoff) {}
 
 void PeerSender::start() {
   connect();
@@ -83,7 +83,7 @@
   });
 }
 
-void PeerSender::send(std::string message) {
+void PeerSender::send(const std::string& message) {
   if (!connected_ || message.size() > kMaxFrame || queued_bytes_ + message.size() > kMaxQueued) return;
   queued_bytes_ += message.size() + 4;
   queue_.push_back(frame(message));
@@ -146,9 +146,9 @@
   bool closed_ = false;
 };
 
-PeerReceiver::PeerReceiver(asio::io_context& io, Tcp::endpoint at, std::size_t max_connections,
+PeerReceiver::PeerReceiver(asio::io_context& io, const Tcp::endpoint& at, std::size_t max_connections,
                            Handler handler)
-    : io_(io), acceptor_(io), pause_(io), max_(max_connections), handler_(std::move(handler)) {
+    : acceptor_(io), pause_(io), max_(max_connections), handler_(std::move(handler)) {
   acceptor_.open(at.protocol());
   acceptor_.set_option(Tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -16,7 +16,7 @@
 
 namespace beaconsill::net {
 
-constexpr std::size_t kMaxFrame = 1024 * 1024;
+constexpr std::size_t kMaxFrame = std::size_t{1024} * 1024;
 
 // The sending side to one peer. Messages to a peer that can't be reached are dropped: they only make things
 // quick.
@@ -24,7 +24,7 @@
  public:
   PeerSender(asio::io_context& io, Tcp::endpoint to);
   void start();
-  void send(std::string message);
+  void send(const std::string& message);
   void stop();
   // Drops the connection and tries again: for a peer whose echoes no longer come.
   void reset();
@@ -51,7 +51,7 @@
 class PeerReceiver : public std::enable_shared_from_this<PeerReceiver> {
  public:
   using Handler = std::function<void(std::string_view)>;
-  PeerReceiver(asio::io_context& io, Tcp::endpoint at, std::size_t max_connections, Handler handler);
+  PeerReceiver(asio::io_context& io, const Tcp::endpoint& at, std::size_t max_connections, Handler handler);
   void start();
   void stop();
   Tcp::endpoint local() const { return acceptor_.local_endpoint(); }
@@ -60,7 +60,6 @@
   class Connection;
   void accept();
 
-  asio::io_context& io_;
   Tcp::acceptor acceptor_;
   asio::steady_timer pause_;
   std::size_t max_;
