--- a/src/node/worker_reports.cpp
+++ b/src/node/worker_reports.cpp
@@ -6,7 +6,7 @@
 namespace {
 // Left of the time for a cancellation after the word of it and the lease. It has to cover the clocks' drift
 // and a worker's timer only: a lease counts from when the report was sent, however slow its answer is.
-constexpr double kCancelMargin_s = 1;
+constexpr double kCancelMarginSeconds = 1;
 constexpr Duration kRelayWait = std::chrono::milliseconds(800);
 constexpr std::size_t kMaxRelayed = 256;
 }  // namespace
@@ -32,7 +32,7 @@
 net::Response WorkersDuty::answer(Owned& o, PartId id, const wire::Report& report) {
   auto& part = *o.part;
   // Without word of cancellations for this long, the leases of tasks that may be cancelled have to run out.
-  auto limit = from_seconds(ctx_.settings.cancel_s - ctx_.settings.lease_s - kCancelMargin_s);
+  auto limit = from_seconds(ctx_.settings.cancel_s - ctx_.settings.lease_s - kCancelMarginSeconds);
   if (ctx_.now() - word() > limit) return {503, wire::render_error("out of touch"), 1};
   part.on_report(report, ctx_.now());
   if (part.superseded()) {
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -157,7 +157,7 @@
 
 // With a connection kept to each of a thousand machines, those that report would find no socket left.
 WorkersDuty::Channel& WorkersDuty::channel(const MachineName& m, const std::string& address,
-                                           net::Tcp::endpoint at) {
+                                           const net::Tcp::endpoint& at) {
   if (auto it = channels_.find(m); it != channels_.end()) {
     if (it->second.address == address) return it->second;
     auto client = it->second.client;
@@ -188,7 +188,7 @@
   ++c.under_way;
   c.used = ctx_.now();
   auto body = wire::render_commands(b.token, b.session, b.commands);
-  c.client->request("POST", "/do", std::move(body), kCommandTimeout,
+  c.client->request("POST", "/do", body, kCommandTimeout,
                     [this, id, term, b = std::move(b), client = std::weak_ptr(c.client)](net::Result r) {
                       if (stopped_) return;
                       if (auto x = channels_.find(b.machine);
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -59,7 +59,7 @@
     Instant used{};
   };
   // The connection to a machine; makes room for it among those to others.
-  Channel& channel(const MachineName& m, const std::string& address, net::Tcp::endpoint at);
+  Channel& channel(const MachineName& m, const std::string& address, const net::Tcp::endpoint& at);
   void tick();
   void pump();
   void send(PartId part, part::Part::Batch b);
