--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,7 @@
 #include <CLI/CLI.hpp>
 #include <asio/signal_set.hpp>
+#include <cstdio>
+#include <exception>
 #include <iostream>
 
 #include "base/log.h"
@@ -36,9 +38,7 @@
   return 0;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int run_command_line(int argc, char** argv) {
   CLI::App app{"beaconsill: a cluster scheduler"};
   app.set_version_flag("--version", std::string("beaconsill ") + BEACONSILL_VERSION);
   std::string settings, policy;
@@ -66,3 +66,14 @@
     return 1;
   }
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run_command_line(argc, argv);
+  } catch (const std::exception& e) {
+    std::fputs(e.what(), stderr);
+    return 1;
+  }
+}
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -21,9 +21,8 @@
 }
 }  // namespace
 
-CloudClient::CloudClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, double rps)
-    : io_(io),
-      clock_(clock),
+CloudClient::CloudClient(asio::io_context& io, const Clock& clock, const net::Tcp::endpoint& at, double rps)
+    : clock_(clock),
       http_(std::make_shared<net::HttpClient>(io, at, kConnections)),
       budget_(rps, 1.5, clock.now()),
       timer_(io) {}
@@ -63,7 +62,7 @@
     }
     Job j = std::move(queue_.front());
     queue_.pop_front();
-    http_->request(std::move(j.method), std::move(j.target), std::move(j.body), kTimeout,
+    http_->request(j.method, j.target, j.body, kTimeout,
                    [weak = weak_from_this(), done = std::move(j.done)](net::Result r) {
                      if (auto me = weak.lock(); me && r.status == 429) me->budget_.drain(me->clock_.now());
                      done(std::move(r));
@@ -73,19 +72,20 @@
 }
 
 void CloudClient::catalogue(std::function<void(std::optional<wire::Catalogue>)> done) {
-  enqueue(false, "GET", "/catalog", "",
-          [done = std::move(done)](net::Result r) { done(parsed(r, "catalogue", wire::parse_catalogue)); });
+  enqueue(false, "GET", "/catalog", "", [done = std::move(done)](const net::Result& r) {
+    done(parsed(r, "catalogue", wire::parse_catalogue));
+  });
 }
 
 void CloudClient::list(std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done) {
   next_page(std::make_shared<std::vector<wire::ListedMachine>>(), std::nullopt, std::move(done));
 }
 
-void CloudClient::next_page(std::shared_ptr<std::vector<wire::ListedMachine>> so_far,
-                            std::optional<MachineName> after,
+void CloudClient::next_page(const std::shared_ptr<std::vector<wire::ListedMachine>>& so_far,
+                            const std::optional<MachineName>& after,
                             std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done) {
   enqueue(false, "GET", wire::machine_page_target(after), "",
-          [weak = weak_from_this(), so_far, done = std::move(done)](net::Result r) mutable {
+          [weak = weak_from_this(), so_far, done = std::move(done)](const net::Result& r) mutable {
             auto me = weak.lock();
             auto page = parsed(r, "list of machines", wire::parse_machine_page);
             if (!me || !page) return done(std::nullopt);
@@ -96,14 +96,14 @@
           });
 }
 
-void CloudClient::remove(std::vector<MachineName> names, std::function<void(bool)> done) {
+void CloudClient::remove(const std::vector<MachineName>& names, std::function<void(bool)> done) {
   enqueue(true, "POST", "/machines/delete", wire::render_delete(names),
-          [done = std::move(done)](net::Result r) { done(r.status == 200); });
+          [done = std::move(done)](const net::Result& r) { done(r.status == 200); });
 }
 
 void CloudClient::rent(const wire::RentRequest& req,
                        std::function<void(RentOutcome, std::vector<MachineName>)> done) {
-  enqueue(false, "POST", "/machines", wire::render_rent(req), [done = std::move(done)](net::Result r) {
+  enqueue(false, "POST", "/machines", wire::render_rent(req), [done = std::move(done)](const net::Result& r) {
     if (auto names = parsed(r, "answer to a rental request", wire::parse_rented)) {
       return done(RentOutcome::kRented, std::move(*names));
     }
--- a/src/cloud/client.h
+++ b/src/cloud/client.h
@@ -13,15 +13,18 @@
 
 namespace beaconsill::cloud {
 
+// Owns the queue of requests and the connections. A request waits for its turn within `rps` (requests per
+// second) for a few seconds. Errors aren't thrown: a callback gets nothing (nullopt, false, kUnanswered) if
+// there was no well-formed answer in time.
 class CloudClient : public std::enable_shared_from_this<CloudClient> {
  public:
-  CloudClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, double rps);
+  CloudClient(asio::io_context& io, const Clock& clock, const net::Tcp::endpoint& at, double rps);
 
   void catalogue(std::function<void(std::optional<wire::Catalogue>)> done);
   // All pages.
   void list(std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done);
   // 200: true. Deletions go before everything else: tasks wait for them.
-  void remove(std::vector<MachineName> names, std::function<void(bool)> done);
+  void remove(const std::vector<MachineName>& names, std::function<void(bool)> done);
   enum class RentOutcome { kRented, kNoCapacity, kUnanswered };
   void rent(const wire::RentRequest& r, std::function<void(RentOutcome, std::vector<MachineName>)> done);
   void set_rate(double rps);
@@ -36,10 +39,10 @@
   void enqueue(bool first, std::string method, std::string target, std::string body,
                std::function<void(net::Result)> done);
   void pump();
-  void next_page(std::shared_ptr<std::vector<wire::ListedMachine>> so_far, std::optional<MachineName> after,
+  void next_page(const std::shared_ptr<std::vector<wire::ListedMachine>>& so_far,
+                 const std::optional<MachineName>& after,
                  std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done);
 
-  asio::io_context& io_;
   const Clock& clock_;
   std::shared_ptr<net::HttpClient> http_;
   store::Budget budget_;
--- a/src/config/expr.cpp
+++ b/src/config/expr.cpp
@@ -87,11 +87,11 @@
     static const std::vector<std::pair<std::string, std::function<bool(double, double)>>> kOps{
         {"==", std::equal_to<>()},      {"!=", std::not_equal_to<>()}, {"<=", std::less_equal<>()},
         {">=", std::greater_equal<>()}, {"<", std::less<>()},          {">", std::greater<>()}};
-    for (const auto& [op, f] : kOps) {
+    for (const auto& [op, holds] : kOps) {
       if (!eat(op)) continue;
       Node r = sum();
       if (l.type != r.type) fail("'" + op + "' compares values of one type");
-      return {ExprType::kBool, [l, r, &f] { return f(l.eval(), r.eval()) ? 1.0 : 0.0; }};
+      return {ExprType::kBool, [l, r, &compare = holds] { return compare(l.eval(), r.eval()) ? 1.0 : 0.0; }};
     }
     return l;
   }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -38,7 +38,7 @@
     if (s.empty()) fail(field, "must not be empty");
     return s;
   }
-  std::string str_or(std::string_view field, std::string otherwise) const {
+  std::string str_or(std::string_view field, const std::string& otherwise) const {
     return table_.get(field) ? str(field) : otherwise;
   }
   double number(std::string_view field) const {
@@ -82,7 +82,7 @@
     for (const auto& e : *n->as_array()) {
       auto name = std::string(field) + "[" + std::to_string(i++) + "]";
       if (!e.is_table()) fail(name, "must be a table");
-      v.push_back({*e.as_table(), file_, path_ + name + "."});
+      v.emplace_back(*e.as_table(), file_, path_ + name + ".");
     }
     return v;
   }
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <system_error>
 
 #include "cloud/client.h"
 #include "config/policy.h"
@@ -15,8 +16,13 @@
 namespace beaconsill::node {
 
 struct Context {
-  Context(asio::io_context& io_, const Clock& clock_, config::Settings settings_, config::Policy policy_)
-      : io(io_), clock(clock_), settings(std::move(settings_)), policy(policy_), parting(settings) {}
+  Context(asio::io_context& event_loop, const Clock& node_clock, config::Settings node_settings,
+          const config::Policy& node_policy)
+      : io(event_loop),
+        clock(node_clock),
+        settings(std::move(node_settings)),
+        policy(node_policy),
+        parting(settings) {}
 
   asio::io_context& io;
   const Clock& clock;
@@ -55,7 +61,11 @@
   bool pending() const { return state_->pending; }
   void stop() {
     state_->stopped = true;
-    state_->timer.cancel();
+    try {
+      state_->timer.cancel();
+    } catch (const std::system_error&) {
+      return;  // the handler still runs when the time is up, and finds it stopped
+    }
   }
 
  private:
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -151,41 +151,60 @@
 void LeaderDuty::rounds() {
   auto leader = still_leader();
   if (!leader) return;
-  auto now = ctx_.now();
-  auto all = terms();
-  std::set<PartId> reachable;
-  for (const auto& [part, term] : all)
-    if (peers_.reachable(ctx_.view().part_role(part).value.node)) reachable.insert(part);
-  if (auto ask = lead_->begin_round(now, ctx_.clock.wall(), reachable)) {
-    peers_.broadcast(*ask);
-    workers_.on_ask(*ask, [this](wire::Answer a) { lead_->on_answer(a, ctx_.now()); });
-  }
+  begin_round();
   // Services go at once, arrays as the budget of writes allows: what they would use up now, the next service
   // would wait for.
   bool services = lead_->for_services();
-  auto grants =
-      lead_->decide(now, all, services ? kMaxGrants : std::max<std::size_t>(1, ctx_.store->spare_writes()));
+  auto most = services ? kMaxGrants : std::max<std::size_t>(1, ctx_.store->spare_writes());
+  auto grants = lead_->decide(ctx_.now(), terms(), most);
   if (!grants) return;
-  std::erase_if(*grants, [&](const auto& g) {
-    if (store::to_json(g.grants).dump().size() < ctx_.settings.value_kb * 1024 * kValueShare) return false;
+  drop_oversized(*grants);
+  if (grants->empty()) return lead_->on_granted({}, std::nullopt, ctx_.now());
+  write_grants(*grants, *leader, services ? store::Urgency::kUser : store::Urgency::kWork);
+}
+
+// Asks the owners of all parts in reach for estimates, unless a round is under way.
+void LeaderDuty::begin_round() {
+  std::set<PartId> reachable;
+  for (const auto& [part, term] : terms())
+    if (peers_.reachable(ctx_.view().part_role(part).value.node)) reachable.insert(part);
+  auto ask = lead_->begin_round(ctx_.now(), ctx_.clock.wall(), reachable);
+  if (!ask) return;
+  peers_.broadcast(*ask);
+  workers_.on_ask(*ask, [this](const wire::Answer& a) { lead_->on_answer(a, ctx_.now()); });
+}
+
+// The state service refuses values beyond its limit, and with them the whole transaction.
+void LeaderDuty::drop_oversized(std::vector<lead::Lead::Grant>& grants) const {
+  auto limit = ctx_.settings.value_kb * 1024 * kValueShare;
+  std::erase_if(grants, [&](const auto& g) {
+    if (static_cast<double>(store::to_json(g.grants).dump().size()) < limit) return false;
     spdlog::info("{}: its grants are in too many pieces for one value, it gets no more for now",
                  g.job.value());
     return true;
   });
-  if (grants->empty()) return lead_->on_granted({}, std::nullopt, now);
+}
+
+wire::Txn LeaderDuty::grants_txn(const std::vector<lead::Lead::Grant>& grants,
+                                 const wire::Condition& leader) const {
   wire::Txn t;
-  t.conditions.push_back(*leader);
+  t.conditions.push_back(leader);
   std::set<PartId> rests_on;
-  for (const auto& g : *grants) rests_on.insert(g.rests_on.begin(), g.rests_on.end());
+  for (const auto& g : grants) rests_on.insert(g.rests_on.begin(), g.rests_on.end());
   for (auto part : rests_on)
     t.conditions.push_back({store::part_role_key(part), ctx_.view().part_role(part).version});
-  for (const auto& g : *grants) {
+  for (const auto& g : grants) {
     t.conditions.push_back({store::grants_key(g.job), g.expected});
     t.conditions.push_back({store::end_key(g.job), Revision()});
     t.writes.push_back({store::grants_key(g.job), store::to_json(g.grants), std::nullopt});
   }
-  auto urgency = services ? store::Urgency::kUser : store::Urgency::kWork;
-  ctx_.store->txn(t, urgency, [this, t, term = term_, grants = *grants](store::TxnResult r) {
+  return t;
+}
+
+void LeaderDuty::write_grants(const std::vector<lead::Lead::Grant>& grants, const wire::Condition& leader,
+                              store::Urgency urgency) {
+  auto t = grants_txn(grants, leader);
+  ctx_.store->txn(t, urgency, [this, t, term = term_, grants](store::TxnResult r) {
     if (!lead_ || term != term_) return;
     if (r.outcome == store::Outcome::kOk) {
       for (const auto& g : grants)
@@ -278,7 +297,7 @@
   auto now = ctx_.now();
   if (auto r = capacity_->rent(lead_->demand(now), now)) {
     ctx_.cloud->rent(*r, [this, req = *r, term = term_](cloud::CloudClient::RentOutcome o,
-                                                        std::vector<MachineName> names) {
+                                                        const std::vector<MachineName>& names) {
       if (!capacity_ || term != term_) return;
       switch (o) {
         case cloud::CloudClient::RentOutcome::kRented:
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -1,4 +1,4 @@
-// The leader's duty: carries out what the leader's state machine wishes.
+// The leader's duty: carries out the commands of the leader's state machine.
 #pragma once
 
 #include <memory>
@@ -12,12 +12,16 @@
 
 namespace beaconsill::node {
 
+// Owns the state machines of the leader (lead::Lead, lead::Capacity) while this node leads, and the timers
+// that drive them; the context, the peers and the workers' duty belong to the node. Requests that fail are
+// logged and repeated at the next tick; nothing is thrown.
 class LeaderDuty {
  public:
   LeaderDuty(Context& ctx, PeersDuty& peers, WorkersDuty& workers);
   void start();
   void stop();
 
+  // This node has become the leader under `term`, or is no longer.
   void lead(Term term);
   void unlead();
   bool leading() const { return lead_ != nullptr; }
@@ -27,6 +31,7 @@
   void on_outcomes(const wire::Outcomes& o);
   void on_summary(const wire::Summary& s);
   void on_catalogue();
+  // Runs a round as soon as the event loop is free.
   void kick();
 
  private:
@@ -35,6 +40,11 @@
   void go_through(const std::set<JobId>& jobs);
   void pump();
   void rounds();
+  void begin_round();
+  void drop_oversized(std::vector<lead::Lead::Grant>& grants) const;
+  wire::Txn grants_txn(const std::vector<lead::Lead::Grant>& grants, const wire::Condition& leader) const;
+  void write_grants(const std::vector<lead::Lead::Grant>& grants, const wire::Condition& leader,
+                    store::Urgency urgency);
   void write_ends();
   void tidy();
   void rent();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -74,7 +74,7 @@
   server_ = std::make_shared<net::HttpServer>(
       io, endpoint(s.listen, "bind"), server_limits(s),
       [](const net::Request& r) { return api::Api::is_user_path(r.path); },
-      [this](net::Request r, net::HttpServer::Reply reply) { on_request(std::move(r), std::move(reply)); });
+      [this](const net::Request& r, net::HttpServer::Reply reply) { on_request(r, std::move(reply)); });
 }
 
 Node::~Node() = default;
@@ -110,7 +110,7 @@
   ctx_.cloud->stop();
 }
 
-void Node::on_request(net::Request r, net::HttpServer::Reply reply) {
+void Node::on_request(const net::Request& r, net::HttpServer::Reply reply) {
   if (r.path == "/hello") return workers_->on_report(r, reply);
   api_->handle(r, std::move(reply));
 }
@@ -188,7 +188,7 @@
 // The limits of state service and cloud hold for all nodes together. The leader writes most, but all nodes
 // read much the same.
 void Node::adjust_shares() {
-  double n = static_cast<double>(ctx_.settings.controllers());
+  auto n = static_cast<double>(ctx_.settings.controllers());
   if (n < 2) return;
   auto share = [&](double leader) { return leader_->leading() ? leader : (1 - leader) / (n - 1); };
   ctx_.store->set_shares(share(std::max(0.4, 1 / n)), share(0.6));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,8 @@
 
 namespace beaconsill::node {
 
+// Owns all duties of one controller, its clients and its server; the event loop and the clock have to outlive
+// it. Constructor: config::ConfigError if an address of the settings can't be parsed.
 class Node {
  public:
   Node(asio::io_context& io, const Clock& clock, config::Settings settings, config::Policy policy);
@@ -21,7 +23,7 @@
   net::Tcp::endpoint listening() const { return server_->local(); }
 
  private:
-  void on_request(net::Request r, net::HttpServer::Reply reply);
+  void on_request(const net::Request& r, net::HttpServer::Reply reply);
   void on_view(const store::View::Touched& t);
   void on_peer(const wire::PeerMessage& m);
   void fetch_catalogue();
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -40,7 +40,7 @@
   if (beating_) return;
   beating_ = true;
   if (!hold_) {
-    return ctx_.store->hold(kHoldMs, [this](store::ReadResult r) {
+    return ctx_.store->hold(kHoldMs, [this](const store::ReadResult& r) {
       beating_ = false;
       if (r.outcome != store::Outcome::kOk) return;
       try {
@@ -53,7 +53,7 @@
       write_alive();
     });
   }
-  ctx_.store->renew(*hold_, [this](store::ReadResult r) {
+  ctx_.store->renew(*hold_, [this](const store::ReadResult& r) {
     beating_ = false;
     if (r.status == 404) {
       spdlog::info("this node's hold has run out, taking a new one");
--- a/src/node/roles.h
+++ b/src/node/roles.h
@@ -8,6 +8,8 @@
 
 namespace beaconsill::node {
 
+// Owns this node's hold in the state service and the terms of the roles that this process has taken; the
+// hooks say what follows from taking or losing one. Failed requests are repeated, nothing is thrown.
 class RolesDuty {
  public:
   struct Hooks {
