--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -68,7 +68,7 @@
  private:
   static Connection& self(http_parser* p) { return *static_cast<Connection*>(p->data); }
   static const http_parser_settings& settings() {
-    static const http_parser_settings s = [] {
+    static const http_parser_settings kSettings = [] {
       http_parser_settings t;
       http_parser_settings_init(&t);
       t.on_header_field = [](http_parser* p, const char* at, size_t n) {
@@ -99,7 +99,7 @@
       };
       return t;
     }();
-    return s;
+    return kSettings;
   }
 
   void send() {
