--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -40,8 +40,8 @@
 }
 }  // namespace
 
-StoreClient::StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
-                         double share)
+StoreClient::StoreClient(asio::io_context& io, const Clock& clock, const net::Tcp::endpoint& at,
+                         StoreLimits limits, double share)
     : io_(io),
       clock_(clock),
       http_(std::make_shared<net::HttpClient>(io, at, kConnections)),
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -16,6 +16,7 @@
 
 namespace beaconsill::store {
 
+// NOLINTNEXTLINE(bugprone-exception-escape): the JSON library's move asserts its invariants, nothing more.
 struct ReadResult {
   Outcome outcome = Outcome::kRefused;
   int status = 0;
@@ -29,7 +30,7 @@
 
 class StoreClient : public TxnSink, public std::enable_shared_from_this<StoreClient> {
  public:
-  StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
+  StoreClient(asio::io_context& io, const Clock& clock, const net::Tcp::endpoint& at, StoreLimits limits,
               double share);
 
   struct TxnOptions {
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -42,7 +42,7 @@
   void apply_cancelled(const std::vector<wire::CancelledJob>& jobs);
 
  private:
-  void load(std::string after);
+  void load(const std::string& after);
   void read();
   // This node dropped the key at a later revision.
   bool dropped_later(const wire::Change& c) const;
@@ -55,7 +55,6 @@
   // Reads as soon as the last read is long enough ago.
   void read_soon();
 
-  asio::io_context& io_;
   const Clock& clock_;
   std::shared_ptr<StoreClient> client_;
   Duration period_;
