--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -6,6 +6,12 @@
 
 namespace beaconsill::api {
 
+const JobId* first_unknown(const wire::JobSpec& spec, const std::function<bool(const JobId&)>& known) {
+  for (const auto& awaited : spec.awaits)
+    if (!known(awaited)) return &awaited;
+  return nullptr;
+}
+
 Verdict admit(const wire::JobSpec& spec, const config::Settings& settings, const wire::Catalogue* catalogue) {
   using Kind = Verdict::Kind;
   const auto* team = settings.team(spec.team);
--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -64,7 +64,7 @@
 
 Response Api::known(const JobId& id, wire::JobState s) const {
   const auto& view = mirror_->view();
-  if (s == wire::JobState::kCancelled) hooks_.told(view.ending(id).version);
+  if (s == wire::JobState::kCancelled) hooks_.told(view.ended_by(id));
   std::uint32_t done = 0;
   if (view.ending(id).exists()) {
     done = view.ending(id).value.done;
@@ -88,14 +88,10 @@
   }
   if (!mirror_->ready()) return reply(later("starting"));
   JobId id = spec.id;
-  auto answer_known = [this, id, reply](bool fresh) {
-    if (auto s = state(id); fresh && s) return reply({200, wire::render_accepted(id, *s)});
-    reply(later("state not known"));
-  };
   // What was accepted once is never judged again.
   if (auto s = state(id)) {
-    if (*s == wire::JobState::kDone || *s == wire::JobState::kCancelled) return answer_known(true);
-    return mirror_->sync(answer_known);
+    if (*s == wire::JobState::kDone || *s == wire::JobState::kCancelled) return reply_known(id, true, reply);
+    return mirror_->sync([this, id, reply](bool fresh) { reply_known(id, fresh, reply); });
   }
   auto verdict = admit(spec, settings_, hooks_.catalogue());
   if (verdict.kind != Verdict::Kind::kAccept) {
@@ -107,23 +103,64 @@
       reply(later(verdict.reason, 5));
     });
   }
+  if (!first_unknown(spec)) return accept(std::move(spec), std::move(reply));
+  // Another node may just have accepted what it awaits: only what was read can tell.
+  mirror_->sync([this, id, spec, reply](bool fresh) {
+    if (!fresh) return reply(later("state service not reachable"));
+    if (auto s = state(id)) return reply({200, wire::render_accepted(id, *s)});
+    const auto* unknown = first_unknown(spec);
+    if (unknown) return reply({422, wire::render_error("awaits " + unknown->value() + ", no such job")});
+    accept(spec, reply);
+  });
+}
+
+const JobId* Api::first_unknown(const wire::JobSpec& spec) const {
+  return api::first_unknown(spec, [this](const JobId& awaited) { return state(awaited).has_value(); });
+}
+
+void Api::reply_known(const JobId& id, bool fresh, const net::HttpServer::Reply& reply) const {
+  if (auto s = state(id); fresh && s) return reply({200, wire::render_accepted(id, *s)});
+  reply(later("state not known"));
+}
+
+// A job that awaits a cancelled one is accepted and cancelled at once. Its answer must not call it queued
+// because this node has yet to read of a cancellation that was told long ago.
+void Api::reply_accepted(const JobId& id, const net::HttpServer::Reply& reply) {
+  const auto* job = mirror_->view().job(id);
+  auto answer = [this, id, reply](bool fresh) {
+    auto s = state(id);
+    if (!fresh || !s) return reply(later("state not known"));
+    reply({201, wire::render_accepted(id, *s)});
+  };
+  bool recent = clock_.now() - mirror_->word() < from_seconds(settings_.cancel_s / 4);
+  if (!job || job->record.spec->awaits.empty() || recent) return answer(true);
+  mirror_->sync(answer);
+}
+
+void Api::accept(wire::JobSpec spec, net::HttpServer::Reply reply) {
+  if (!spec.awaits.empty() && !hooks_.pipelines())
+    return reply(later("not all controllers know of jobs that await others", 2));
   if (overloaded()) return reply(later("too many submissions", 2));
+  JobId id = spec.id;
   store::JobRecord record{std::make_shared<const wire::JobSpec>(std::move(spec)), clock_.wall()};
+  auto value = store::to_json(record);
+  if (wire::dump(value).size() > settings_.value_kb * 1024)
+    return reply({422, wire::render_error("its record is larger than the state service takes")});
   wire::Txn t;
   t.conditions = {{store::job_key(id), Revision()}, {store::end_key(id), Revision()}};
-  t.writes = {{store::job_key(id), store::to_json(record), std::nullopt}};
-  store_->txn(t, store::Urgency::kUser, [this, t, id, reply, answer_known](store::TxnResult result) {
+  t.writes = {{store::job_key(id), std::move(value), std::nullopt}};
+  store_->txn(t, store::Urgency::kUser, [this, t, id, reply](store::TxnResult result) {
     switch (result.outcome) {
       case store::Outcome::kOk:
         mirror_->apply_own(t, result.revision);
         spdlog::debug("{} accepted ({})", id.value(),
                       mirror_->view().job(id) ? mirror_->view().job(id)->record.spec->job_class : "");
-        reply({201, wire::render_accepted(id, wire::JobState::kQueued)});
+        reply_accepted(id, reply);
         return hooks_.changed(result.revision);
       case store::Outcome::kConflict:
       case store::Outcome::kUnknown:
         // Known already, or no answer: the truth is what is stored.
-        return mirror_->sync(answer_known);
+        return mirror_->sync([this, id, reply](bool fresh) { reply_known(id, fresh, reply); });
       default:
         return reply(later("state service not reachable"));
     }
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -21,6 +21,8 @@
     std::function<void(Revision)> told;
     std::function<std::uint32_t(const JobId&)> running;
     std::function<bool()> healthy;
+    // Whether all controllers know of jobs that await others.
+    std::function<bool()> pipelines;
   };
   Api(const Clock& clock, const config::Settings& settings, std::shared_ptr<store::StoreClient> store,
       std::shared_ptr<store::Mirror> mirror, Hooks hooks);
@@ -31,6 +33,13 @@
 
  private:
   void submit(const net::Request& r, net::HttpServer::Reply reply);
+  // Writes the job's record; the job was found fit to run.
+  void accept(wire::JobSpec spec, net::HttpServer::Reply reply);
+  // Answers for a job that has just been accepted.
+  void reply_accepted(const JobId& id, const net::HttpServer::Reply& reply);
+  void reply_known(const JobId& id, bool fresh, const net::HttpServer::Reply& reply) const;
+  // The first job that it awaits and that isn't in the view.
+  const JobId* first_unknown(const wire::JobSpec& spec) const;
   void status(const JobId& id, net::HttpServer::Reply reply);
   void cancel(const JobId& id, net::HttpServer::Reply reply);
   void do_cancel(const JobId& id, net::HttpServer::Reply reply);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,5 +1,6 @@
 #include "config/settings.h"
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <set>
@@ -31,6 +32,7 @@
     throw ConfigError(file_ + ": " + path_ + std::string(field) + ": " + std::string(reason));
   }
 
+  bool has(std::string_view field) const { return table_.get(field) != nullptr; }
   std::string str(std::string_view field) const {
     const auto* n = need(field);
     if (!n->is_string()) fail(field, "must be a string");
@@ -169,6 +171,15 @@
   s.state_write_rps = state.positive("write_rps");
   s.value_kb = state.positive("value_kb");
   s.txn_ops = state.count("txn_ops");
+  s.next_state_rps = s.state_rps;
+  s.next_state_write_rps = s.state_write_rps;
+  if (state.has("next")) {
+    auto next = state.table("next");
+    if (next.has("rps")) s.next_state_rps = next.positive("rps");
+    if (next.has("write_rps")) s.next_state_write_rps = next.positive("write_rps");
+    if (next.has("value_kb")) s.value_kb = std::min(s.value_kb, next.positive("value_kb"));
+    if (next.has("txn_ops")) s.txn_ops = std::min(s.txn_ops, next.count("txn_ops"));
+  }
   auto cloud = cluster.table("cloud");
   s.cloud_rps = cloud.positive("rps");
   s.list_lag_s = cloud.number("list_lag_s");
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -47,8 +47,12 @@
   std::vector<TeamSettings> teams;
   std::vector<Objective> objectives;
   double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
-  double state_rps = 0, state_write_rps = 0, value_kb = 0;
+  // Sizes are those that hold now and after `state.next` has come: what is written must stay writable. Rates
+  // come as they are now and as they will be.
+  double value_kb = 0;
   std::size_t txn_ops = 0;
+  double state_rps = 0, state_write_rps = 0;
+  double next_state_rps = 0, next_state_write_rps = 0;
   double cloud_rps = 0, list_lag_s = 0;
   double cpu_share = 0, memory_mb = 0;
   std::size_t max_connections = 0;
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -7,6 +7,10 @@
 #include "base/log.h"
 
 namespace beaconsill::lead {
+namespace {
+// Between the last completion of a job and the first start of the next in a pipeline.
+constexpr int kReportsBetweenSteps = 3;
+}  // namespace
 
 Lead::Lead(LeadParams params, std::vector<config::TeamSettings> teams,
            std::vector<config::Objective> objectives)
@@ -16,14 +20,22 @@
   usage_[e.record.spec->team] += e.record.spec->each * (sign * static_cast<double>(e.charged));
 }
 
-void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now) {
+void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now,
+                  std::optional<WallMs> ready_since) {
   auto it = jobs_.find(id);
   if (it != jobs_.end()) ledger(it->second, -1);
+  if (end || !job) needs_.on_over(id);
   if (!job || !job->record.spec) {
     if (it != jobs_.end()) jobs_.erase(it);
     told_.erase(id);
     return;
   }
+  bool awaits = !job->record.spec->awaits.empty();
+  if (awaits && !end && !ready_since) {
+    if (it != jobs_.end()) jobs_.erase(it);
+    return wait_for_others(id, job->record);
+  }
+  needs_.on_released(id);
   bool fresh = it == jobs_.end();
   auto& e = jobs_[id];
   auto had_pending = e.pending.count();
@@ -74,7 +86,12 @@
     e.pending.remove(e.done);
     e.pending.remove(out);
   }
-  e.due_ms = due(*e.record.spec, e.record.submitted);
+  if (!awaits) {
+    e.counts_from = e.record.submitted;
+  } else if (fresh && ready_since) {
+    e.counts_from = *ready_since;
+  }
+  e.need = need_of(id, e);
   if (fresh || (had_pending == 0 && !e.pending.empty())) e.waiting_since = now;
   // A new job, or a replica that lost its machine, is asked about at once.
   if (!e.pending.empty() &&
@@ -83,6 +100,24 @@
   ledger(e, +1);
 }
 
+void Lead::wait_for_others(const JobId& id, const store::JobRecord& record) {
+  const auto& spec = *record.spec;
+  // To be complete in time it has to start a run time earlier, and what it awaits is seen to be done and is
+  // followed by its grant a few reports later.
+  auto takes = from_seconds(spec.estimate_s) + kReportsBetweenSteps * params_.report_period;
+  needs_.on_waiting(id, spec.awaits, {spec.priority, due(record, std::nullopt)}, takes);
+  refresh_needs();
+}
+
+void Lead::refresh_needs() {
+  for (const auto& id : needs_.take_changed())
+    if (auto it = jobs_.find(id); it != jobs_.end()) it->second.need = need_of(id, it->second);
+}
+
+Need Lead::need_of(const JobId& id, const Entry& e) const {
+  return stricter({e.record.spec->priority, due(e.record, e.counts_from)}, needs_.of(id));
+}
+
 void Lead::on_outcomes(const wire::Outcomes& o) {
   auto known = terms_.find(o.part);
   bool present = known != terms_.end() && known->second == o.term;
@@ -141,13 +176,15 @@
 
 std::optional<Duration> Lead::late(const JobId& id, WallMs wall) const {
   auto it = jobs_.find(id);
-  if (it == jobs_.end() || it->second.due_ms.empty() || wall.value() <= it->second.due_ms[0])
-    return std::nullopt;
-  return std::chrono::milliseconds(wall.value() - it->second.due_ms[0]);
+  if (it == jobs_.end()) return std::nullopt;
+  const auto& due = it->second.need.due_ms;
+  if (due.empty() || wall.value() <= due[0]) return std::nullopt;
+  return std::chrono::milliseconds(wall.value() - due[0]);
 }
 
 bool Lead::busy() const {
-  return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return !j.second.end; });
+  return !needs_.empty() ||
+         std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return !j.second.end; });
 }
 
 std::vector<JobId> Lead::drained() const {
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/settings.h"
+#include "lead/pipeline.h"
 #include "lead/queue.h"
 #include "lead/split.h"
 #include "part/estimator.h"
@@ -35,7 +36,10 @@
   Lead(LeadParams params, std::vector<config::TeamSettings> teams, std::vector<config::Objective> objectives);
 
   // ---- What happens
-  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
+  // `ready_since`: of a job that awaits others, when the last of them was done; none: it waits. While it
+  // waits it's in no order, round, limit, guarantee or demand.
+  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now,
+              std::optional<WallMs> ready_since = std::nullopt);
   // What an owner told of tasks that it was granted. Each of its jobs is then to be gone through again by
   // on_job, and those returned by on_terms as well.
   void on_outcomes(const wire::Outcomes& o);
@@ -90,11 +94,12 @@
     // The chunks less what was done or returned, and what they have to go on holding: also tasks that their
     // owner told to be done, until it has recorded that.
     std::vector<std::pair<Ranges, store::Chunk>> live, kept;
-    std::uint32_t out = 0;             // tasks in `live`
-    std::uint32_t told_returned = 0;   // tasks returned by word only
-    std::uint32_t charged = 0;         // tasks in the ledger
-    std::set<PartId> told_by;          // the parts that have told so
-    std::vector<std::int64_t> due_ms;  // when it should be complete, the first time first
+    std::uint32_t out = 0;            // tasks in `live`
+    std::uint32_t told_returned = 0;  // tasks returned by word only
+    std::uint32_t charged = 0;        // tasks in the ledger
+    std::set<PartId> told_by;         // the parts that have told so
+    WallMs counts_from;               // its submission, or when the last job that it awaits was done
+    Need need;                        // its own, and that of the jobs that wait for it
     bool granted_once = false;
     Instant waiting_since{};
   };
@@ -122,12 +127,19 @@
   // multiples.
   double overdue(const Entry& e, WallMs wall) const;
   void ledger(const Entry& e, int sign);
-  std::vector<std::int64_t> due(const wire::JobSpec& spec, WallMs submitted) const;
+  // The times that the objectives and the job itself set. Deadlines count from its submission, the others
+  // from `counts_from`; none: they aren't known yet.
+  std::vector<std::int64_t> due(const store::JobRecord& record, std::optional<WallMs> counts_from) const;
+  void wait_for_others(const JobId& id, const store::JobRecord& record);
+  // Jobs that wait for these need more of them.
+  void refresh_needs();
+  Need need_of(const JobId& id, const Entry& e) const;
 
   LeadParams params_;
   std::vector<config::TeamSettings> teams_;
   std::vector<config::Objective> objectives_;
-  std::map<JobId, Entry> jobs_;
+  std::map<JobId, Entry> jobs_;  // without those that wait for others
+  PipelineNeeds needs_;
   struct Told {
     Term term;
     store::Progress progress;
--- a/src/lead/lead_order.cpp
+++ b/src/lead/lead_order.cpp
@@ -20,26 +20,27 @@
 
 }  // namespace
 
-// The times that the objectives and the job itself set, from its submission.
-std::vector<std::int64_t> Lead::due(const wire::JobSpec& spec, WallMs submitted) const {
-  std::set<double> times;
+std::vector<std::int64_t> Lead::due(const store::JobRecord& record, std::optional<WallMs> counts_from) const {
+  const auto& spec = *record.spec;
+  std::set<std::int64_t> times;
+  auto add = [&](WallMs from, double seconds) {
+    times.insert(from.value() + static_cast<std::int64_t>(seconds * 1000));
+  };
   for (const auto& o : objectives_) {
     if (o.job_class != spec.job_class) continue;
-    if (o.kind == "deadline" && spec.deadline_s) times.insert(*spec.deadline_s * o.times);
-    if (o.kind == "finished" && o.within_s > 0) times.insert(o.within_s);
+    if (o.kind == "deadline" && spec.deadline_s) add(record.submitted, *spec.deadline_s * o.times);
+    if (!counts_from || o.within_s <= 0) continue;
+    if (o.kind == "finished") add(*counts_from, o.within_s);
     // All its tasks are to start by then; the last of them is complete a run time later.
-    if (o.kind == "wait" && o.within_s > 0) times.insert(o.within_s + spec.estimate_s);
+    if (o.kind == "wait") add(*counts_from, o.within_s + spec.estimate_s);
   }
-  if (times.empty() && spec.deadline_s) times.insert(*spec.deadline_s);
-  std::vector<std::int64_t> out;
-  for (double t : times) out.push_back(submitted.value() + static_cast<std::int64_t>(t * 1000));
-  return out;
+  if (times.empty() && spec.deadline_s) add(record.submitted, *spec.deadline_s);
+  return {times.begin(), times.end()};
 }
 
 double Lead::overdue(const Entry& e, WallMs wall) const {
   if (e.out > 0 || !e.done.empty() || params_.longest_wait <= Duration(0)) return 0;
-  return static_cast<double>(wall.value() - e.record.submitted.value()) / 1000 /
-         to_seconds(params_.longest_wait);
+  return static_cast<double>(wall.value() - e.counts_from.value()) / 1000 / to_seconds(params_.longest_wait);
 }
 
 std::vector<QueuedJob> Lead::order(WallMs wall) const {
@@ -55,7 +56,7 @@
     }
     TimedJob t{
         id, spec.each.cpus * spec.estimate_s * (e.pending.count() + kUnderWay * e.out), spec.estimate_s, {}};
-    for (auto due : e.due_ms) t.due.push_back(static_cast<double>(due - wall.value()) / 1000);
+    for (auto due : e.need.due_ms) t.due.push_back(static_cast<double>(due - wall.value()) / 1000);
     timed.push_back(std::move(t));
   }
   // When work waits, what is out is what the machines can hold.
@@ -76,14 +77,14 @@
     QueuedJob q;
     q.id = id;
     q.team = e.record.spec->team;
-    q.priority = e.record.spec->priority;
-    q.due_ms = q.submitted_ms = e.record.submitted.value();
+    q.priority = e.need.priority;
+    q.due_ms = q.submitted_ms = e.counts_from.value();
     q.wanted = e.record.spec->each * static_cast<double>(n);
     auto waits = overdue(e, wall);
     q.overdue = waits < 1 ? 0 : waits < kBeforeAll ? 1 : 2;
-    if (!e.due_ms.empty() && e.record.spec->kind != JobKind::kService) {
+    if (!e.need.due_ms.empty() && e.record.spec->kind != JobKind::kService) {
       auto start = planned.find(id);
-      q.due_ms = start == planned.end() ? e.due_ms.back() + kTooLate
+      q.due_ms = start == planned.end() ? e.need.due_ms.back() + kTooLate
                                         : wall.value() + static_cast<std::int64_t>(start->second * 1000);
     }
     waiting.push_back(std::move(q));
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -1,5 +1,7 @@
 #include "node/leader_duty.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 
 namespace beaconsill::node {
@@ -56,7 +58,7 @@
   capacity_->set_catalogue(ctx_.catalogue);
   lead_->on_terms(terms());
   for (const auto& [part, s] : summaries_) lead_->on_summary(s, ctx_.now());
-  for (const auto& [id, job] : ctx_.view().jobs()) lead_->on_job(id, &job, ctx_.view().end(id), ctx_.now());
+  for (const auto& [id, job] : ctx_.view().jobs()) show(id);
   list_machines();
   kick();
 }
@@ -92,10 +94,21 @@
 }
 
 void LeaderDuty::go_through(const std::set<JobId>& jobs) {
-  for (const auto& id : jobs) lead_->on_job(id, ctx_.view().job(id), ctx_.view().end(id), ctx_.now());
+  for (const auto& id : jobs) show(id);
   if (!jobs.empty()) kick();
 }
 
+void LeaderDuty::show(const JobId& id) {
+  const auto& view = ctx_.view();
+  const auto* job = view.job(id);
+  // Cancelled through others: none of its tasks can be anywhere, and there is nothing to serve.
+  if (view.dependencies().unrecorded().contains(id)) job = nullptr;
+  auto since = view.dependencies().ready_since(id);
+  // Versions before pipelines don't record when a job ended: it counts from when that is seen.
+  if (since && since->value() == 0) since = ctx_.clock.wall();
+  lead_->on_job(id, job, view.end(id), ctx_.now(), since);
+}
+
 void LeaderDuty::on_outcomes(const wire::Outcomes& o) {
   if (!lead_) return;
   wire::Outcomes known{o.part, o.term, {}};
@@ -146,6 +159,8 @@
   read_all();
   rounds();
   write_ends();
+  write_cancelled();
+  write_versions();
 }
 
 void LeaderDuty::rounds() {
@@ -205,27 +220,85 @@
 }
 
 void LeaderDuty::write_ends() {
-  auto leader = still_leader();
-  if (!leader || ctx_.now() < ends_again_) return;
-  wire::Txn t;
+  if (!still_leader() || ctx_.now() < ends_again_) return;
   std::vector<JobId> ids;
   for (const auto& id : lead_->finished()) {
-    if (ending_.contains(id) || ids.size() >= kMaxGrants) continue;
+    if (ending_.contains(id) || ids.size() >= max_ends()) continue;
     const auto* job = ctx_.view().job(id);
     if (!job) continue;
-    t.conditions.push_back({store::end_key(id), Revision()});
-    t.writes.push_back({store::end_key(id),
-                        store::to_json(store::Ending{store::End::kDone, job->record.spec->tasks}),
-                        std::nullopt});
     ids.push_back(id);
     if (auto late = lead_->late(id, ctx_.clock.wall()))
       spdlog::info("{} ({}, {} tasks) is done, {:.1f} s late", id.value(), job->record.spec->job_class,
                    job->record.spec->tasks, to_seconds(*late));
   }
-  if (ids.empty()) return;
+  write_ends(ids, store::End::kDone, store::Urgency::kUser);
+}
+
+void LeaderDuty::write_cancelled() {
+  auto most = std::min(max_ends(), ctx_.store->spare_writes());
+  if (!still_leader() || most == 0 || ctx_.now() < ends_again_) return;
+  std::vector<JobId> ids;
+  for (const auto& id : ctx_.view().dependencies().unrecorded()) {
+    if (ids.size() >= most) break;
+    // One batch of these at a time: they only wait to be tidied.
+    if (ending_.contains(id)) return;
+    ids.push_back(id);
+  }
+  write_ends(ids, store::End::kCancelled, store::Urgency::kTidy);
+}
+
+// Until every controller has shown this version, nothing is written that an earlier one would misread. With
+// the last of them the leader's role is written so that no earlier version can take it: it would start jobs
+// that wait for others.
+void LeaderDuty::write_versions() {
+  auto leader = still_leader();
+  if (!leader || writing_versions_) return;
+  const auto& view = ctx_.view();
+  auto versions = view.versions().value;
+  for (const auto& node : ctx_.parting.nodes()) {
+    auto& shown = versions[node];
+    shown = std::max(shown, view.alive_shows(node).value_or(0));
+  }
+  if (versions == view.versions().value) return;
+  wire::Txn t;
+  t.conditions = {*leader, {store::versions_key(), view.versions().version}};
+  t.writes = {{store::versions_key(), store::to_json(versions), std::nullopt}};
+  bool all = std::all_of(versions.begin(), versions.end(),
+                         [](const auto& v) { return v.second >= store::kPipelinesSince; });
+  auto role = view.leader().value;
+  if (all && !role.fenced) {
+    role.fenced = true;
+    t.writes.push_back({store::leader_role_key(), store::to_json(role), std::nullopt});
+  }
+  writing_versions_ = true;
+  ctx_.store->txn(t, store::Urgency::kWork, [this, t, all](store::TxnResult r) {
+    if (r.outcome == store::Outcome::kOk) {
+      writing_versions_ = false;
+      if (all) spdlog::info("all controllers know version {}", store::kFormatVersion);
+      return ctx_.mirror->apply_own(t, r.revision);
+    }
+    ctx_.mirror->sync([this](bool) { writing_versions_ = false; });
+  });
+}
+
+std::size_t LeaderDuty::max_ends() const {
+  return std::min(kMaxGrants, ctx_.settings.txn_ops);
+}
+
+void LeaderDuty::write_ends(const std::vector<JobId>& ids, store::End end, store::Urgency urgency) {
+  auto leader = still_leader();
+  if (ids.empty() || !leader) return;
+  wire::Txn t;
   t.conditions.push_back(*leader);
+  for (const auto& id : ids) {
+    store::Ending ending{end, 0, ctx_.clock.wall()};
+    if (const auto* job = ctx_.view().job(id); job && end == store::End::kDone)
+      ending.done = job->record.spec->tasks;
+    t.conditions.push_back({store::end_key(id), Revision()});
+    t.writes.push_back({store::end_key(id), store::to_json(ending), std::nullopt});
+  }
   ending_.insert(ids.begin(), ids.end());
-  ctx_.store->txn(t, store::Urgency::kUser, [this, t, ids](store::TxnResult r) {
+  ctx_.store->txn(t, urgency, [this, t, ids](store::TxnResult r) {
     auto over = [this, ids] {
       for (const auto& id : ids) ending_.erase(id);
     };
@@ -249,7 +322,8 @@
   t.conditions.push_back(*leader);
   for (const auto& id : lead_->drained()) {
     const auto* job = ctx_.view().job(id);
-    if (!job) continue;
+    // Without an end of its own, others that it was cancelled through are still needed to know its state.
+    if (!job || !ctx_.view().ending(id).exists()) continue;
     std::vector<wire::Condition> keys{{store::job_key(id), job->created}};
     if (job->grants.exists()) keys.push_back({store::grants_key(id), job->grants.version});
     for (const auto& [part, p] : job->progress) keys.push_back({store::progress_key(part, id), p.version});
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -33,14 +33,22 @@
   // The ledger is whole only once everything was read that earlier leaders wrote.
   void read_all();
   void go_through(const std::set<JobId>& jobs);
+  void show(const JobId& id);
   void pump();
   void rounds();
   void write_ends();
+  // Jobs cancelled through others get an end of their own, so that their records can be dropped in time.
+  void write_cancelled();
+  // Records which controllers have shown that they know this version's records.
+  void write_versions();
+  void write_ends(const std::vector<JobId>& ids, store::End end, store::Urgency urgency);
   void tidy();
   void rent();
   void capacity();
   void list_machines();
   std::map<PartId, Term> terms() const;
+  // Ends written in one transaction.
+  std::size_t max_ends() const;
   // The leader's transactions hold only while it's the leader.
   std::optional<wire::Condition> still_leader() const;
 
@@ -55,6 +63,7 @@
   std::set<JobId> ending_, tidying_;
   Instant ends_again_{};
   std::map<PartId, wire::Summary> summaries_;  // also while another leads
+  bool writing_versions_ = false;
   bool read_ = false;
   bool reading_ = false;
   bool stopped_ = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -63,14 +63,16 @@
                                                  [this] { leader_->unlead(); },
                                                  [this](PartId p) { return workers_->settled(p); },
                                              });
-  api_ = std::make_unique<api::Api>(clock, ctx_.settings, ctx_.store, ctx_.mirror,
-                                    api::Api::Hooks{
-                                        [this] { return ctx_.catalogue.get(); },
-                                        [this](Revision r) { peers_->broadcast(wire::Nudge{r}); },
-                                        [this](Revision r) { peers_->told(r); },
-                                        [this](const JobId& id) { return running(id); },
-                                        [this] { return healthy(); },
-                                    });
+  api_ = std::make_unique<api::Api>(
+      clock, ctx_.settings, ctx_.store, ctx_.mirror,
+      api::Api::Hooks{
+          [this] { return ctx_.catalogue.get(); },
+          [this](Revision r) { peers_->broadcast(wire::Nudge{r}); },
+          [this](Revision r) { peers_->told(r); },
+          [this](const JobId& id) { return running(id); },
+          [this] { return healthy(); },
+          [this] { return ctx_.view().all_know(store::kPipelinesSince, ctx_.parting.nodes()); },
+      });
   server_ = std::make_shared<net::HttpServer>(
       io, endpoint(s.listen, "bind"), server_limits(s),
       [](const net::Request& r) { return api::Api::is_user_path(r.path); },
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -68,7 +68,7 @@
   if (beating_) return;
   beating_ = true;
   wire::Txn t;
-  t.writes = {{store::alive_key(ctx_.settings.node), wire::Json{{"up", true}}, hold_}};
+  t.writes = {{store::alive_key(ctx_.settings.node), store::alive_value(), hold_}};
   ctx_.store->txn(t, store::Urgency::kRole, [this, t](store::TxnResult r) {
     beating_ = false;
     if (r.outcome == store::Outcome::kBad) hold_.reset();  // the hold ran out meanwhile
@@ -150,7 +150,8 @@
   // Only an owner that is gone, or is this very node, may be replaced.
   if (role.exists() && role.value.node != ctx_.settings.node)
     t.conditions.push_back({store::alive_key(role.value.node), Revision()});
-  t.writes = {{s.key, store::to_json(store::Role{ctx_.settings.node, term}), std::nullopt}};
+  t.writes = {
+      {s.key, store::to_json(store::Role{ctx_.settings.node, term, role.value.fenced}), std::nullopt}};
   ctx_.store->txn(t, store::Urgency::kRole, [this, &s, t, term, part](store::TxnResult r) {
     if (r.outcome == store::Outcome::kOk) {
       s.claiming = false;
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -51,6 +51,10 @@
   return key("alive", node.value());
 }
 
+std::string versions_key() {
+  return std::string(kPrefix) + "versions";
+}
+
 std::uint32_t machine_bucket(const MachineName& name) {
   return static_cast<std::uint32_t>(stable_hash(name.value()) >> 32) % kMachineBuckets;
 }
@@ -67,14 +71,18 @@
 }
 
 Json to_json(const Ending& e) {
-  return {{"end", e.end == End::kDone ? "done" : "cancelled"}, {"done", e.done}};
+  Json j{{"end", e.end == End::kDone ? "done" : "cancelled"}, {"done", e.done}};
+  if (e.at.value() > 0) j["at"] = e.at.value();
+  return j;
 }
 
 Ending parse_ending(const Json& j) {
   auto s = wire::get_string(j, "end");
   auto done = static_cast<std::uint32_t>(wire::get_count(j, "done"));
-  if (s == "done") return {End::kDone, done};
-  if (s == "cancelled") return {End::kCancelled, done};
+  WallMs at;
+  if (const Json* f = wire::find(j, "at"); f && f->is_number_integer()) at = WallMs(f->get<std::int64_t>());
+  if (s == "done") return {End::kDone, done, at};
+  if (s == "cancelled") return {End::kCancelled, done, at};
   throw WireError("end is unknown");
 }
 
@@ -125,11 +133,38 @@
 }
 
 Json to_json(const Role& r) {
-  return {{"node", r.node.value()}, {"term", r.term.value()}};
+  return {{r.fenced ? "holder" : "node", r.node.value()}, {"term", r.term.value()}};
 }
 
 Role parse_role(const Json& j) {
-  return {NodeName(wire::get_string(j, "node")), Term(wire::get_count(j, "term"))};
+  bool fenced = wire::find(j, "holder") != nullptr;
+  return {NodeName(wire::get_string(j, fenced ? "holder" : "node")), Term(wire::get_count(j, "term")),
+          fenced};
+}
+
+Json to_json(const Versions& versions) {
+  Json shown = Json::object();
+  for (const auto& [node, version] : versions) shown[node.value()] = version;
+  return {{"shown", std::move(shown)}};
+}
+
+Versions parse_versions(const Json& j) {
+  const Json& shown = wire::need(j, "shown");
+  if (!shown.is_object()) throw WireError("shown is not an object");
+  Versions versions;
+  for (const auto& [node, version] : shown.items()) {
+    if (!version.is_number_unsigned()) throw WireError("a version is not a non-negative integer");
+    versions[NodeName(node)] = version.get<std::uint32_t>();
+  }
+  return versions;
+}
+
+Json alive_value() {
+  return {{"up", true}, {"version", kFormatVersion}};
+}
+
+std::uint32_t parse_alive(const Json& j) {
+  return wire::find(j, "version") ? static_cast<std::uint32_t>(wire::get_count(j, "version")) : 0;
 }
 
 Json to_json(const std::vector<MachineRecord>& machines) {
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -1,6 +1,7 @@
 // What the service keeps in the state service: the keys, one writer each, and the forms of their values.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
 struct Ending {
   End end = End::kDone;
   std::uint32_t done = 0;  // tasks that had completed, for display
+  // When a job that is done was seen to be; 0: not known (versions before pipelines don't say).
+  WallMs at{};
 };
 
 // Tasks that the leader gave to a part. A task is in at most one chunk of its job.
@@ -45,6 +48,9 @@
 struct Role {
   NodeName node;
   Term term;
+  // Written in a form that versions before pipelines can't read: since their claims are conditional on the
+  // version of what they read, they never take this role. Whoever claims it next keeps the form.
+  bool fenced = false;
 };
 struct MachineRecord {
   MachineName name;
@@ -60,6 +66,13 @@
   WallMs submitted;
 };
 
+// What records a controller can read and write. 0: before pipelines (`awaits`). Raised with every record or
+// field that an earlier version would misread; see docs/upgrade.md.
+constexpr std::uint32_t kFormatVersion = 1;
+constexpr std::uint32_t kPipelinesSince = 1;
+// The highest version that each controller has ever shown.
+using Versions = std::map<NodeName, std::uint32_t>;
+
 // Keys.
 std::string job_key(const JobId& id);
 std::string end_key(const JobId& id);
@@ -69,6 +82,7 @@
 std::string part_role_key(PartId part);
 std::string leader_role_key();
 std::string alive_key(const NodeName& node);
+std::string versions_key();
 
 // Machines of a part are spread over this many keys, so that no value outgrows the limit: 8 KiB hold some 60,
 // and all keys of a part fit into one transaction.
@@ -82,11 +96,16 @@
 wire::Json to_json(const Progress& p);
 wire::Json to_json(const Role& r);
 wire::Json to_json(const std::vector<MachineRecord>& m);
+wire::Json to_json(const Versions& v);
+// The value of alive/NODE: this program's version.
+wire::Json alive_value();
 JobRecord parse_job_record(const wire::Json& j);
 Ending parse_ending(const wire::Json& j);
 Grants parse_grants(const wire::Json& j);
 Progress parse_progress(const wire::Json& j);
 Role parse_role(const wire::Json& j);
 std::vector<MachineRecord> parse_machines(const wire::Json& j);
+Versions parse_versions(const wire::Json& j);
+std::uint32_t parse_alive(const wire::Json& j);
 
 }  // namespace beaconsill::store
--- a/src/store/view.cpp
+++ b/src/store/view.cpp
@@ -1,5 +1,6 @@
 #include "store/view.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "base/log.h"
@@ -85,8 +86,16 @@
 
 std::optional<End> View::end(const JobId& id) const {
   const auto& e = ending(id);
-  if (!e.exists()) return std::nullopt;
-  return e.value.end;
+  if (e.exists()) return e.value.end;
+  if (dependencies_.cancelled_by(id)) return End::kCancelled;
+  return std::nullopt;
+}
+
+Revision View::ended_by(const JobId& id) const {
+  const auto& own = ending(id);
+  if (own.exists()) return own.version;
+  const auto* root = dependencies_.cancelled_by(id);
+  return root ? ending(*root).version : Revision();
 }
 
 const Versioned<Role>& View::part_role(PartId part) const {
@@ -101,7 +110,21 @@
 
 Revision View::alive_version(const NodeName& node) const {
   auto it = alive_.find(node);
-  return it == alive_.end() ? Revision() : it->second;
+  return it == alive_.end() ? Revision() : it->second.revision;
+}
+
+std::optional<std::uint32_t> View::alive_shows(const NodeName& node) const {
+  auto it = alive_.find(node);
+  if (it == alive_.end() || it->second.revision.value() == 0) return std::nullopt;
+  return it->second.shows;
+}
+
+bool View::all_know(std::uint32_t version, const std::vector<NodeName>& nodes) const {
+  return std::all_of(nodes.begin(), nodes.end(), [&](const NodeName& node) {
+    auto shown = versions_.value.find(node);
+    if (shown == versions_.value.end() || shown->second < version) return false;
+    return alive_shows(node).value_or(version) >= version;
+  });
 }
 
 const Versioned<std::vector<MachineRecord>>& View::machines(PartId part, std::uint32_t bucket) const {
@@ -113,9 +136,11 @@
 void View::clear() {
   jobs_.clear();
   ends_.clear();
+  dependencies_.clear();
   parts_.clear();
   leader_ = {};
   alive_.clear();
+  versions_ = {};
   machines_.clear();
   touched_ = {};
 }
@@ -135,7 +160,7 @@
     } else if (kind == "ends") {
       JobId id{std::string(rest)};
       auto& slot = ends_[id];
-      update(slot, c, parse_ending);
+      if (update(slot, c, parse_ending) && slot.exists()) dependencies_.on_end(id, slot.value);
       if (!slot.exists()) ends_.erase(id);
       touched_.jobs.insert(id);
     } else if (kind == "roles") {
@@ -146,11 +171,13 @@
         touched_.roles |= update(parts_[PartId(*n)], c, parse_role);
       }
     } else if (kind == "alive") {
-      auto& version = alive_[NodeName(std::string(rest))];
-      if (c.version > version) {
-        version = c.value ? c.version : Revision();
+      auto& alive = alive_[NodeName(std::string(rest))];
+      if (c.version > alive.revision) {
+        alive = c.value ? Alive{c.version, parse_alive(*c.value)} : Alive{};
         touched_.roles = true;
       }
+    } else if (kind == "versions") {
+      touched_.roles |= update(versions_, c, parse_versions);
     } else if (kind == "machines") {
       auto [part, bucket] = split(rest);
       auto p = number(part), b = number(bucket);
@@ -160,6 +187,7 @@
   } catch (const wire::WireError& e) {
     spdlog::error("state service: value of {} not understood: {}", c.key, e.what());
   }
+  for (auto& id : dependencies_.take_changed()) touched_.jobs.insert(std::move(id));
 }
 
 void View::apply_job(const JobId& id, const wire::Change& c) {
@@ -169,6 +197,14 @@
     if (c.version > job.created) {
       job.record = c.value ? parse_job_record(*c.value) : JobRecord{};
       job.created = c.value ? c.version : Revision();
+      if (job.record.spec) {
+        dependencies_.on_record(id, job.record.spec->awaits, [this](const JobId& awaited) {
+          const auto& e = ending(awaited);
+          return e.exists() ? &e.value : nullptr;
+        });
+      } else {
+        dependencies_.on_record_dropped(id);
+      }
     }
   } else if (kind == "grants") {
     update(job.grants, c, parse_grants);
--- a/src/store/view.h
+++ b/src/store/view.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "store/dependencies.h"
 #include "store/records.h"
 #include "wire/store.h"
 
@@ -52,12 +53,23 @@
 
   const std::map<JobId, Job>& jobs() const { return jobs_; }
   const Job* job(const JobId& id) const;
+  // How the job ended, by its own record or since a job that it awaits was cancelled. Final.
   std::optional<End> end(const JobId& id) const;
+  // Which jobs wait for which, and what follows from that.
+  const Dependencies& dependencies() const { return dependencies_; }
+  // The revision of the record that ended the job: its own, or that of the job through which it's cancelled.
+  Revision ended_by(const JobId& id) const;
   const Versioned<Ending>& ending(const JobId& id) const;
   const Versioned<Role>& leader() const { return leader_; }
   const Versioned<Role>& part_role(PartId part) const;
   bool alive(const NodeName& node) const;
   Revision alive_version(const NodeName& node) const;
+  // The version that the node's running process shows; none: it isn't alive.
+  std::optional<std::uint32_t> alive_shows(const NodeName& node) const;
+  // The highest versions ever shown, as recorded.
+  const Versioned<Versions>& versions() const { return versions_; }
+  // Whether all these nodes have shown this version, and none that is alive shows a lower one.
+  bool all_know(std::uint32_t version, const std::vector<NodeName>& nodes) const;
   const Versioned<std::vector<MachineRecord>>& machines(PartId part, std::uint32_t bucket) const;
 
  private:
@@ -66,9 +78,15 @@
   std::map<JobId, Job>
       jobs_;  // also those known only by a grant or progress, until their job comes: see job()
   std::unordered_map<JobId, Versioned<Ending>> ends_;
+  Dependencies dependencies_;
   std::map<PartId, Versioned<Role>> parts_;
   Versioned<Role> leader_;
-  std::map<NodeName, Revision> alive_;
+  struct Alive {
+    Revision revision;
+    std::uint32_t shows = 0;
+  };
+  std::map<NodeName, Alive> alive_;
+  Versioned<Versions> versions_;
   std::map<std::pair<PartId, std::uint32_t>, Versioned<std::vector<MachineRecord>>> machines_;
   Touched touched_;
 };
--- a/src/wire/api.cpp
+++ b/src/wire/api.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 
 namespace beaconsill::wire {
 namespace {
@@ -63,6 +64,22 @@
   return "queued";
 }
 
+std::vector<JobId> parse_awaits(const Json& list, const JobId& job) {
+  if (!list.is_array()) throw WireError("awaits is not a list");
+  if (list.size() > kMaxAwaited) throw WireError("awaits names too many jobs");
+  std::vector<JobId> awaits;
+  std::set<JobId> names{job};
+  for (const Json& name : list) {
+    if (!name.is_string() || !valid_job_id(name.get_ref<const std::string&>()))
+      throw WireError("awaits holds something other than a job id");
+    JobId awaited(name.get<std::string>());
+    if (awaited == job) throw WireError("awaits names the job itself");
+    if (!names.insert(awaited).second) throw WireError("awaits names a job twice");
+    awaits.push_back(std::move(awaited));
+  }
+  return awaits;
+}
+
 }  // namespace
 
 bool valid_job_id(std::string_view id) {
@@ -102,6 +119,7 @@
   s.checkpoint_s = get_amount(j, "markS");
   s.save_s = get_amount(j, "stowS");
   if (find(j, "tideS")) s.deadline_s = get_amount(j, "tideS");
+  if (const Json* awaits = find(j, "awaits")) s.awaits = parse_awaits(*awaits, s.id);
   return s;
 }
 
@@ -130,6 +148,11 @@
   }
   if (s.zone) j["harbour"] = s.zone->value();
   if (s.deadline_s) j["tideS"] = *s.deadline_s;
+  if (!s.awaits.empty()) {
+    Json list = Json::array();
+    for (const auto& awaited : s.awaits) list.push_back(awaited.value());
+    j["awaits"] = std::move(list);
+  }
   return j;
 }
 
--- a/src/wire/api.h
+++ b/src/wire/api.h
@@ -29,9 +29,12 @@
   double checkpoint_s = 0;
   double save_s = 0;
   std::optional<double> deadline_s;
+  std::vector<JobId> awaits;  // jobs that have to be done before any task of this one starts
 };
 
 constexpr std::uint32_t kMaxTasks = 100'000;
+// Jobs that one job may await: with names of the usual length its record fits into a value of 2 KiB.
+constexpr std::size_t kMaxAwaited = 100;
 
 // The form that every job id has.
 bool valid_job_id(std::string_view id);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -74,6 +74,33 @@
   EXPECT_EQ(log.str().find("deadline"), std::string::npos);
 }
 
+// Limits that come later: sizes hold from the start, rates are kept beside those of now.
+TEST(Settings, LimitsToComeHoldForSizesFromTheStart) {
+  struct Case {
+    const char* next;
+    double value_kb;
+    std::size_t txn_ops;
+    double rps, write_rps;
+  };
+  const Case cases[] = {
+      {"", 8, 16, 100, 30},
+      {"[cluster.state.next]\nwrite_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 5\n", 2, 5, 100, 15},
+      {"[cluster.state.next]\nvalue_kb = 64.0\ntxn_ops = 50\nrps = 7.0\n", 8, 16, 7, 30},
+      {"[cluster.state.next]\nserenity = 1\n", 8, 16, 100, 30},
+  };
+  for (const auto& c : cases) {
+    auto text = good();
+    text.insert(text.find("[cluster.cloud]"), c.next);
+    auto s = parse_settings(text, "s.toml");
+    EXPECT_EQ(s.value_kb, c.value_kb) << c.next;
+    EXPECT_EQ(s.txn_ops, c.txn_ops) << c.next;
+    EXPECT_EQ(s.next_state_rps, c.rps) << c.next;
+    EXPECT_EQ(s.next_state_write_rps, c.write_rps) << c.next;
+    EXPECT_EQ(s.state_rps, 100) << c.next;
+    EXPECT_EQ(s.state_write_rps, 30) << c.next;
+  }
+}
+
 TEST(Settings, WrongOnesNameFileFieldAndReason) {
   struct Case {
     const char* from;
@@ -88,6 +115,9 @@
       {"rps = 100.0", "rps = -1.0", "cluster.state.rps"},
       {"rps = 100.0", "rps = nan", "cluster.state.rps"},
       {"txn_ops = 16", "txn_ops = 0", "cluster.state.txn_ops: must be a whole number"},
+      {"txn_ops = 16", "txn_ops = 16\nnext = 3", "cluster.state.next: must be a table"},
+      {"txn_ops = 16", "txn_ops = 16\nnext = {txn_ops = 0}", "cluster.state.next.txn_ops: must be a whole"},
+      {"txn_ops = 16", "txn_ops = 16\nnext = {value_kb = -1}", "cluster.state.next.value_kb"},
       {"lease_s = 10.0", "lease_s = 0.5", "cluster.workers.lease_s: must be more than report_s"},
       {"cpus = 10", "cpus = 30", "cluster.teams[0].cpus: is more than cpus_max"},
       {"zones = [\"east\", \"west\"]", "zones = [1]", "cluster.zones"},
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -92,6 +92,15 @@
       for (int n = 0; n < 500 && call(i, "GET", "/up").status != 200; ++n)
         io.run_for(std::chrono::milliseconds(10));
   }
+  // Until pipelines are taken: all controllers have shown that they know of them.
+  void pipelines() {
+    auto known = [this] {
+      auto it = state.keys.find("beaconsill/versions");
+      return it != state.keys.end() && it->second.first.at("shown") == Json{{"n0", 1}, {"n1", 1}};
+    };
+    run_until(known, "all controllers know of pipelines");
+    io.run_for(std::chrono::milliseconds(600));
+  }
   // Ends the first node for good: its hold runs out as well.
   void end_first() {
     run_until([&] { return state.hold_of("beaconsill/alive/n0").has_value(); }, "n0 is alive");
@@ -188,6 +197,88 @@
     EXPECT_EQ(w.call(0, c.method, c.path, c.body).status, c.status) << c.method << ' ' << c.path;
 }
 
+TEST(Pipelines, RunStepByStepAndAreCancelledTogether) {
+  World w;
+  w.healthy();
+  auto step = [](const std::string& id, std::vector<std::string> awaits, const char* kind = "batch") {
+    auto j = Json::parse(World::job(id, kind, 2));
+    j["awaits"] = std::move(awaits);
+    return j.dump();
+  };
+  auto submit = [&](std::size_t node, const std::string& body) {
+    return w.call(node, "POST", "/v1/jobs", body);
+  };
+  w.pipelines();
+  EXPECT_EQ(submit(0, World::job("run-1", "batch", 2)).status, 201);
+  // Accepted by the other node a moment ago.
+  auto a = submit(1, step("run-2", {"run-1"}));
+  EXPECT_EQ(a.status, 201);
+  EXPECT_EQ(a.body["bearing"], "queued");
+  EXPECT_EQ(submit(0, step("run-9", {"run-1", "run-404"})).status, 422);
+  EXPECT_EQ(submit(0, step("run-9", {"run-9"})).status, 400);
+  EXPECT_EQ(w.call(0, "GET", "/v1/jobs/run-9").status, 404);
+  w.state.down = true;
+  EXPECT_EQ(submit(0, step("run-9", {"run-404"})).status, 503);
+  w.state.down = false;
+  auto started = [&](const std::string& job) {
+    for (auto& x : w.workers)
+      for (auto& t : x->tasks)
+        if (t.id.starts_with(job + "/")) return true;
+    return false;
+  };
+  bool too_early = false;
+  auto over = [&] {
+    bool second = started("run-2");
+    too_early |= second && w.bearing(0, "run-1") != "done";
+    return w.bearing(0, "run-2") == "done";
+  };
+  w.run_until(over, "both are done");
+  EXPECT_FALSE(too_early);
+  // Neither node starts anything of what waits for a service, and both call it off as soon as that is.
+  EXPECT_EQ(submit(0, World::job("run-10", "daemon", 1)).status, 201);
+  std::string before = "run-10";
+  for (auto id : {"run-11", "run-12", "run-13"}) {
+    EXPECT_EQ(submit(0, step(id, {before})).status, 201);
+    before = id;
+  }
+  EXPECT_EQ(w.bearing(1, "run-13"), "queued");
+  EXPECT_EQ(w.call(1, "POST", "/v1/jobs/run-10/withdraw").body["bearing"], "withdrawn");
+  for (std::size_t node : {1, 0})
+    for (auto id : {"run-11", "run-12", "run-13"}) EXPECT_EQ(w.bearing(node, id), "withdrawn") << id;
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs/run-12/withdraw").body["bearing"], "withdrawn");
+  // Named afterwards: accepted, and called off.
+  a = submit(0, step("run-14", {"run-13"}));
+  EXPECT_EQ(a.status, 201);
+  EXPECT_EQ(a.body["bearing"], "withdrawn");
+  // They get ends of their own, their records go, and nothing changes by that.
+  auto tidied = [&] {
+    for (auto id : {"run-11", "run-12", "run-13", "run-14"})
+      if (w.state.keys.contains(std::string("beaconsill/jobs/") + id)) return false;
+    return true;
+  };
+  w.run_until(tidied, "tidied");
+  for (auto id : {"run-11", "run-12", "run-13", "run-14"}) EXPECT_EQ(w.bearing(1, id), "withdrawn") << id;
+  EXPECT_EQ(w.bearing(1, "run-2"), "done");
+}
+
+// Until each controller has shown that it knows of such jobs, an earlier version might start them too early.
+TEST(Pipelines, AreRefusedForNowUntilAllControllersKnowOfThem) {
+  World w;
+  w.healthy();
+  w.pipelines();
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-1", "daemon", 1)).status, 201);
+  auto j = Json::parse(World::job("run-2", "batch", 1));
+  j["awaits"] = {"run-1"};
+  // Recorded with the leader's role in a form that an earlier version can't take it by.
+  EXPECT_TRUE(w.state.keys.at("beaconsill/roles/leader").first.contains("holder"));
+  // The second node is set back to an earlier version.
+  auto old = [&] { w.state.put("beaconsill/alive/n1", Json{{"up", true}}); };
+  old();
+  w.io.run_for(std::chrono::milliseconds(600));
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", j.dump()).status, 503);
+  EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-3", "batch", 1)).status, 201);
+}
+
 TEST(EndToEnd, AnUnreadableStateServiceIsNever404) {
   World w;
   w.healthy();
--- /dev/null
+++ b/tests/pipeline_lead_test.cpp
@@ -0,0 +1,207 @@
+// The leader and jobs that await others: nothing of them is served before its time, and what the last job of
+// a pipeline needs orders those before it.
+#include <gtest/gtest.h>
+
+#include "lead/lead.h"
+
+namespace beaconsill::lead {
+namespace {
+
+Instant at(double s) {
+  return Instant{} + from_seconds(1000 + s);
+}
+
+JobId run(std::size_t n) {
+  return JobId("run-" + std::to_string(100000 + n));
+}
+
+struct Pipeline {
+  Pipeline()
+      : lead({std::chrono::seconds(2), std::chrono::seconds(1), std::chrono::seconds(100), {}, 8},
+             {{Team("blue"), 4, 10, 0, 0}},
+             {{"deadline", "last", 0.9, 0, 1},
+              {"deadline", "last", 0.9, 0, 1.5},
+              {"wait", "step", 0.9, 40, 1}}) {}
+
+  void job(std::size_t n, std::vector<JobId> awaits, std::function<void(wire::JobSpec&)> change = {}) {
+    wire::JobSpec s;
+    s.id = run(n);
+    s.team = Team("blue");
+    s.tasks = 2;
+    s.each = {1, 0, 1};
+    s.estimate_s = 10;
+    s.awaits = std::move(awaits);
+    if (change) change(s);
+    jobs[n].record = {std::make_shared<const wire::JobSpec>(s), WallMs(0)};
+    jobs[n].created = Revision(1);
+    show(n);
+  }
+  void show(std::size_t n, std::optional<store::End> end = std::nullopt) {
+    lead.on_job(run(n), &jobs[n], end, at(0), ready.contains(n) ? std::optional(ready[n]) : std::nullopt);
+  }
+  void release(std::size_t n, std::int64_t wall_ms) {
+    ready[n] = WallMs(wall_ms);
+    show(n);
+  }
+  // The jobs granted tasks by a round with plenty of room, in their order; nothing is recorded.
+  std::vector<JobId> granted(double t, double wall_s = 0) {
+    auto ask = lead.begin_round(at(t), WallMs(static_cast<std::int64_t>(wall_s * 1000)), {PartId(0)});
+    if (!ask) return {};
+    wire::ShapeRoom room{{Zone("a"), 1000, 0, 0, 0}};
+    lead.on_answer({ask->round, PartId(0), Term(1), Revision(1), std::vector(ask->shapes.size(), room)},
+                   at(t));
+    auto grants = lead.decide(at(t), {{PartId(0), Term(1)}}).value_or(std::vector<Lead::Grant>{});
+    lead.on_granted(grants, std::nullopt, at(t));
+    std::vector<JobId> out;
+    for (const auto& g : grants) out.push_back(g.job);
+    return out;
+  }
+
+  Lead lead;
+  std::map<std::size_t, store::Job> jobs;
+  std::map<std::size_t, WallMs> ready;
+};
+
+TEST(PipelineLead, GrantsOnlyAfterAllAreDone) {
+  Pipeline p;
+  p.job(1, {});
+  p.job(2, {run(1)});
+  EXPECT_EQ(p.granted(1), std::vector{run(1)});
+  // Neither does it count for the capacity, nor for what is over.
+  EXPECT_EQ(p.lead.demand(at(5)).size(), 1u);
+  EXPECT_TRUE(p.lead.finished().empty());
+  p.show(1, store::End::kDone);
+  EXPECT_TRUE(p.granted(3).empty());  // not by the end of the other, but by word that all are done
+  EXPECT_TRUE(p.lead.busy());
+  p.release(2, 7000);
+  EXPECT_EQ(p.granted(5), std::vector{run(2)});
+}
+
+// A leader that begins in the middle sees the jobs in any order.
+TEST(PipelineLead, ALeaderThatBeginsInTheMiddleWaitsAsWell) {
+  Pipeline p;
+  p.ready[2] = WallMs(7000);
+  p.job(4, {run(3)});
+  p.job(3, {run(2)});
+  p.job(2, {run(1)});
+  EXPECT_EQ(p.granted(1), std::vector{run(2)});
+}
+
+// While it waits it holds nothing of its team's limit (10 CPUs) or guarantee.
+TEST(PipelineLead, WaitingHoldsNothingOfTheLimit) {
+  Pipeline p;
+  for (std::size_t n = 10; n < 30; ++n) p.job(n, {run(1)});
+  p.job(2, {}, [](wire::JobSpec& s) { s.tasks = 10; });
+  ASSERT_EQ(p.lead.demand(at(5)).size(), 1u);
+  EXPECT_EQ(p.lead.demand(at(5))[0].shape.wanted, 10u);
+}
+
+TEST(PipelineLead, CancelledWhileWaitingItIsDrainedAtOnce) {
+  Pipeline p;
+  p.job(2, {run(1)});
+  p.show(2, store::End::kCancelled);
+  EXPECT_TRUE(p.granted(1).empty());
+  EXPECT_EQ(p.lead.drained(), std::vector{run(2)});
+  EXPECT_FALSE(p.lead.busy());
+}
+
+TEST(PipelineLead, PriorityOfTheLastJobFlowsBack) {
+  Pipeline p;
+  p.job(1, {}, [](wire::JobSpec& s) { s.priority = Priority::kLow; });
+  p.job(5, {}, [](wire::JobSpec& s) { s.priority = Priority::kNormal; });
+  EXPECT_EQ(p.granted(1), (std::vector{run(5), run(1)}));
+  p.job(2, {run(1)}, [](wire::JobSpec& s) { s.priority = Priority::kLow; });
+  p.job(3, {run(2)}, [](wire::JobSpec& s) { s.priority = Priority::kHigh; });
+  EXPECT_EQ(p.granted(3), (std::vector{run(1), run(5)}));
+}
+
+TEST(PipelineNeeds, DeadlinesFlowBackByTheLongestPath) {
+  auto seconds = [](int s) { return Duration(std::chrono::seconds(s)); };
+  struct Step {
+    std::size_t job;
+    std::vector<std::size_t> awaits;
+    int takes_s;
+    std::vector<std::int64_t> due_ms;
+  };
+  struct Case {
+    const char* what;
+    std::vector<Step> steps;
+    std::map<std::size_t, std::vector<std::int64_t>> needed;
+  };
+  const Case cases[] = {
+      {"a chain",
+       {{2, {1}, 10, {}}, {3, {2}, 20, {100000, 150000}}},
+       {{2, {80000, 130000}}, {1, {70000, 120000}}}},
+      {"a diamond: by its longer side",
+       {{2, {1}, 10, {}}, {3, {1}, 30, {}}, {4, {2, 3}, 20, {100000}}},
+       {{2, {80000}}, {3, {80000}}, {1, {50000}}}},
+      {"two pipelines through one job: the earlier",
+       {{2, {1}, 10, {90000}}, {3, {1}, 10, {50000, 99000}}},
+       {{1, {40000, 89000}}}},
+      {"its own earlier time stands", {{2, {1}, 10, {30000}}, {3, {2}, 10, {100000}}}, {{1, {20000}}}},
+      {"no deadline at all", {{2, {1}, 10, {}}, {3, {2}, 10, {}}}, {{1, {}}}},
+  };
+  for (const auto& c : cases) {
+    for (bool backwards : {false, true}) {
+      PipelineNeeds needs;
+      auto steps = c.steps;
+      if (backwards) std::reverse(steps.begin(), steps.end());
+      for (const auto& s : steps) {
+        std::vector<JobId> awaits;
+        for (auto a : s.awaits) awaits.push_back(run(a));
+        needs.on_waiting(run(s.job), awaits, {Priority::kNormal, s.due_ms}, seconds(s.takes_s));
+      }
+      for (const auto& [job, due] : c.needed)
+        EXPECT_EQ(needs.of(run(job)).due_ms, due) << c.what << " " << job;
+    }
+  }
+}
+
+// The deadline counts from the submission of the last job, the other times from when it can start.
+TEST(PipelineLead, OtherTimesCountFromWhenTheLastNeededJobIsDone) {
+  Pipeline p;
+  p.job(1, {run(9)}, [](wire::JobSpec& s) { s.job_class = "step"; });
+  p.job(2, {run(9)}, [](wire::JobSpec& s) {
+    s.job_class = "last";
+    s.deadline_s = 100;
+  });
+  p.release(1, 60000);
+  p.release(2, 60000);
+  // 40 s and a run time of 10 s after it was released.
+  EXPECT_FALSE(p.lead.late(run(1), WallMs(109000)));
+  EXPECT_TRUE(p.lead.late(run(1), WallMs(111000)));
+  EXPECT_FALSE(p.lead.late(run(2), WallMs(99000)));
+  EXPECT_TRUE(p.lead.late(run(2), WallMs(101000)));
+}
+
+// A job that waited for others for long isn't overdue when they are done: 100 s count from then.
+TEST(PipelineLead, TheLongestWaitCountsFromThenAsWell) {
+  Pipeline p;
+  p.job(1, {run(9)});
+  p.job(2, {}, [](wire::JobSpec& s) { s.priority = Priority::kHigh; });
+  p.jobs[2].record.submitted = WallMs(900000);
+  p.show(2);
+  p.release(1, 890000);
+  EXPECT_EQ(p.granted(1, 900), (std::vector{run(2), run(1)}));
+  EXPECT_EQ(p.granted(3, 1030), (std::vector{run(1), run(2)}));
+}
+
+TEST(PipelineNeeds, CostNoMoreThanWhatChanges) {
+  constexpr std::size_t kChain = 10000;
+  PipelineNeeds needs;
+  for (std::size_t n = 1; n < kChain; ++n)
+    needs.on_waiting(run(n), {run(n - 1)}, {Priority::kLow, {}}, std::chrono::seconds(1));
+  EXPECT_LE(needs.effort(), kChain);
+  auto before = needs.effort();
+  needs.on_waiting(run(kChain), {run(kChain - 1)}, {Priority::kHigh, {1 << 30}}, std::chrono::seconds(1));
+  EXPECT_LE(needs.effort() - before, kChain);
+  EXPECT_EQ(needs.of(run(0)).priority, Priority::kHigh);
+  // A wide fan: each new job is looked at once.
+  before = needs.effort();
+  for (std::size_t n = 1; n < kChain; ++n)
+    needs.on_waiting(run(100000 + n), {run(99999)}, {Priority::kLow, {}}, std::chrono::seconds(1));
+  EXPECT_LE(needs.effort() - before, kChain);
+}
+
+}  // namespace
+}  // namespace beaconsill::lead
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -64,6 +64,11 @@
       }
     holds_.erase(hold);
   }
+  // Sets a key, as some other program would.
+  void put(const std::string& key, Json value) {
+    keys[key] = {value, ++revision_};
+    log_.push_back({{"set", key}, {"v", std::move(value)}, {"entry", revision_}});
+  }
   std::optional<std::uint64_t> hold_of(const std::string& key) const {
     auto it = attached_.find(key);
     if (it == attached_.end()) return std::nullopt;
