Values fit the limits to come; rates follow the limits in force

Cause: state.next announces smaller values, transactions and fewer changes a second, from some moment after the upgrade on; what was stored under the old limits stays.

Change: store/sizes fits progress (all that is recorded, and as much of the rest as fits), grants (new chunks are shortened) and the registry (further keys for a bucket, once all controllers read them). A chunk keeps tasks recorded as done where that makes it shorter. Two refusals within 10 s put the lower rates in force; the higher ones are tried again after a minute, then ever more rarely. Tables for each.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -1,6 +1,7 @@
 #include "api/api.h"
 
 #include "base/log.h"
+#include "store/sizes.h"
 
 namespace beaconsill::api {
 namespace {
@@ -144,7 +145,7 @@
   JobId id = spec.id;
   store::JobRecord record{std::make_shared<const wire::JobSpec>(std::move(spec)), clock_.wall()};
   auto value = store::to_json(record);
-  if (wire::dump(value).size() > settings_.value_kb * 1024)
+  if (store::value_bytes(value) > settings_.value_bytes())
     return reply({422, wire::render_error("its record is larger than the state service takes")});
   wire::Txn t;
   t.conditions = {{store::job_key(id), Revision()}, {store::end_key(id), Revision()}};
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -57,6 +57,8 @@
   double cpu_share = 0, memory_mb = 0;
   std::size_t max_connections = 0;
 
+  // Bytes that a value may take up.
+  std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024); }
   std::size_t controllers() const { return peers.size() + 1; }
   const TeamSettings* team(const Team& name) const;
 };
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -59,17 +59,25 @@
     Ranges r = c.tasks;
     if (auto p = job->progress.find(c.part); p != job->progress.end())
       r.remove(store::given_back(p->second.value, c.generation));
+    Ranges with_done = r;
     r.remove(recorded);
     auto granted = r.count();
     if (told != told_.end())
-      if (auto t = told->second.find(c.part); t != told->second.end())
-        r.remove(store::given_back(t->second.progress, c.generation));
+      if (auto t = told->second.find(c.part); t != told->second.end()) {
+        auto back = store::given_back(t->second.progress, c.generation);
+        r.remove(back);
+        with_done.remove(back);
+      }
     if (r.count() < granted) {
       e.told_returned += granted - r.count();
       e.told_by.insert(c.part);
     }
     if (r.empty()) continue;
-    e.kept.emplace_back(r, c);
+    // A chunk may go on holding tasks that are recorded as done, which nobody starts: of the two texts the
+    // shorter is written, or an array whose tasks end in no order outgrows its value.
+    auto kept = c;
+    kept.tasks = with_done.spans().size() < r.spans().size() ? with_done : r;
+    e.kept.emplace_back(r, std::move(kept));
     r.remove(e.done);
     if (r.empty()) continue;
     e.out += r.count();
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -92,7 +92,7 @@
     Ranges pending;
     Ranges done;
     // The chunks less what was done or returned, and what they have to go on holding: also tasks that their
-    // owner told to be done, until it has recorded that.
+    // owner told to be done, until it has recorded that. The chunks in `kept` are as they are to be written.
     std::vector<std::pair<Ranges, store::Chunk>> live, kept;
     std::uint32_t out = 0;            // tasks in `live`
     std::uint32_t told_returned = 0;  // tasks returned by word only
--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -106,10 +106,7 @@
       Grant g{job->first, {}, e.grants_version, e.told_by};
       g.grants.last = e.grants.last;
       g.grants.recall = true;
-      for (const auto& [tasks, chunk] : e.kept) {
-        g.grants.chunks.push_back(chunk);
-        g.grants.chunks.back().tasks = tasks;
-      }
+      for (const auto& [tasks, chunk] : e.kept) g.grants.chunks.push_back(chunk);
       grants.push_back(std::move(g));
       continue;
     }
@@ -220,10 +217,7 @@
     Grant g{job->first, {}, e.grants_version, e.told_by};
     g.grants.last = e.grants.last;
     usage[spec.team] -= spec.each * static_cast<double>(e.told_returned);
-    for (const auto& [tasks, chunk] : e.kept) {
-      g.grants.chunks.push_back(chunk);
-      g.grants.chunks.back().tasks = tasks;
-    }
+    for (const auto& [tasks, chunk] : e.kept) g.grants.chunks.push_back(chunk);
     Ranges pending = e.pending;
     Attempt attempt(gang ? e.grants.last.value() + 1 : 0);
     auto give = [&](const std::vector<Share>& list, bool force) {
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "store/sizes.h"
 
 namespace beaconsill::node {
 namespace {
@@ -181,8 +182,11 @@
   auto grants =
       lead_->decide(now, all, services ? kMaxGrants : std::max<std::size_t>(1, ctx_.store->spare_writes()));
   if (!grants) return;
-  std::erase_if(*grants, [&](const auto& g) {
-    if (store::to_json(g.grants).dump().size() < ctx_.settings.value_kb * 1024 * kValueShare) return false;
+  std::erase_if(*grants, [&](auto& g) {
+    const auto* job = ctx_.view().job(g.job);
+    auto recorded = job ? job->grants.value.last : Generation();
+    auto most = static_cast<std::size_t>(static_cast<double>(ctx_.settings.value_bytes()) * kValueShare);
+    if (g.grants.recall || store::fit_grants(g.grants, recorded, most)) return false;
     spdlog::info("{}: its grants are in too many pieces for one value, it gets no more for now",
                  g.job.value());
     return true;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -38,9 +38,10 @@
   auto cloud = endpoint(s.cloud, "external.cloud");
   endpoint(s.peer_listen, "internal_addr");
   for (const auto& p : s.peers) endpoint(p.address, "known.peer_addr");
-  ctx_.store = std::make_shared<store::StoreClient>(io, clock, state,
-                                                    store::StoreLimits{s.state_rps, s.state_write_rps},
-                                                    1.0 / static_cast<double>(s.controllers()));
+  ctx_.store = std::make_shared<store::StoreClient>(
+      io, clock, state, store::StoreLimits{s.state_rps, s.state_write_rps},
+      store::StoreLimits{s.next_state_rps, s.next_state_write_rps},
+      1.0 / static_cast<double>(s.controllers()));
   ctx_.mirror = std::make_shared<store::Mirror>(io, clock, ctx_.store, kSyncPeriod,
                                                 [this](const store::View::Touched& t) { on_view(t); });
   ctx_.cloud = std::make_shared<cloud::CloudClient>(io, clock, cloud,
--- a/src/node/part_records.cpp
+++ b/src/node/part_records.cpp
@@ -1,6 +1,7 @@
 // What the owner of a part keeps in the state service, and tells the leader.
 #include "base/log.h"
 #include "node/workers.h"
+#include "store/sizes.h"
 
 namespace beaconsill::node {
 namespace {
@@ -33,7 +34,7 @@
 
 void WorkersDuty::load_registry(PartId id, part::Part& p) {
   std::vector<store::MachineRecord> all;
-  for (std::uint32_t b = 0; b < store::kMachineBuckets; ++b) {
+  for (std::uint32_t b = 0; b < store::kMachineBuckets * store::kMachinePieces; ++b) {
     const auto& bucket = ctx_.view().machines(id, b);
     all.insert(all.end(), bucket.value.begin(), bucket.value.end());
   }
@@ -54,6 +55,31 @@
   if (!jobs.empty()) tell_({id, o.part->term(), std::move(jobs)});
 }
 
+// The keys of a bucket whose values change, with their new values.
+std::map<std::uint32_t, std::vector<store::MachineRecord>> WorkersDuty::registry_writes(
+    PartId id, std::uint32_t bucket, std::vector<store::MachineRecord> machines) const {
+  const auto& view = ctx_.view();
+  std::vector<store::MachineRecord> registered;
+  for (std::uint32_t k = 0; k < store::kMachinePieces; ++k) {
+    const auto& piece = view.machines(id, bucket + k * store::kMachineBuckets).value;
+    registered.insert(registered.end(), piece.begin(), piece.end());
+  }
+  // Never fewer keys than are used already, or machines that may run tasks would fall out of the registry.
+  bool several = view.all_know(store::kPipelinesSince, ctx_.parting.nodes());
+  for (std::uint32_t k = 1; k < store::kMachinePieces; ++k)
+    several |= !view.machines(id, bucket + k * store::kMachineBuckets).value.empty();
+  auto most = std::min<std::size_t>(store::kMachinePieces, ctx_.settings.txn_ops);
+  auto pieces =
+      store::split_machines(registered, std::move(machines), ctx_.settings.value_bytes(), several ? most : 1);
+  pieces.resize(store::kMachinePieces);
+  std::map<std::uint32_t, std::vector<store::MachineRecord>> writes;
+  for (std::uint32_t k = 0; k < store::kMachinePieces; ++k) {
+    auto key = bucket + k * store::kMachineBuckets;
+    if (pieces[k] != view.machines(id, key).value) writes[key] = std::move(pieces[k]);
+  }
+  return writes;
+}
+
 void WorkersDuty::write_registry(PartId id, Owned& o) {
   if (o.registering) return;
   auto buckets = o.part->unregistered();
@@ -63,11 +89,15 @@
   wire::Txn t;
   t.conditions.push_back({store::part_role_key(id), role.version});
   for (auto& [b, machines] : buckets) {
-    auto key = store::machines_key(id, b);
-    t.conditions.push_back({key, ctx_.view().machines(id, b).version});
-    t.writes.push_back({key, store::to_json(machines), std::nullopt});
-    if (t.writes.size() >= ctx_.settings.txn_ops) break;
+    auto pieces = registry_writes(id, b, std::move(machines));
+    if (t.writes.size() + pieces.size() > ctx_.settings.txn_ops && !t.writes.empty()) break;
+    for (auto& [piece, value] : pieces) {
+      auto key = store::machines_key(id, piece);
+      t.conditions.push_back({key, ctx_.view().machines(id, piece).version});
+      t.writes.push_back({key, store::to_json(value), std::nullopt});
+    }
   }
+  if (t.writes.empty()) return;
   o.registering = true;
   auto term = o.part->term();
   ctx_.store->txn(t, store::Urgency::kRole, [this, id, term, t](store::TxnResult r) {
@@ -105,8 +135,13 @@
     if (!record) continue;
     auto key = store::progress_key(id, job);
     auto have = record->progress.find(id);
-    t.conditions.push_back({key, have == record->progress.end() ? Revision() : have->second.version});
-    t.writes.push_back({key, store::to_json(progress), std::nullopt});
+    auto recorded = have == record->progress.end() ? store::Versioned<store::Progress>{} : have->second;
+    auto value = store::fit_progress(recorded.value, progress, ctx_.settings.value_bytes());
+    auto json = store::to_json(value);
+    // Written under a higher limit: it gets shorter as the rest ends.
+    if (value == recorded.value || store::value_bytes(json) > ctx_.settings.value_bytes()) continue;
+    t.conditions.push_back({key, recorded.version});
+    t.writes.push_back({key, std::move(json), std::nullopt});
     if (t.writes.size() >= most) break;
   }
   if (t.writes.empty()) return;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -11,6 +11,11 @@
 constexpr Duration kQueueWait = std::chrono::milliseconds(2500);
 constexpr std::size_t kConnections = 6;
 
+// Refusals this close together are no accident of several nodes asking at once.
+constexpr Duration kRefusedAgain = std::chrono::seconds(10);
+constexpr Duration kFirstPatience = std::chrono::seconds(60);
+constexpr Duration kMostPatience = std::chrono::seconds(600);
+
 ReadResult to_read(const net::Result& r) {
   ReadResult out;
   out.status = r.status;
@@ -35,12 +40,31 @@
 }
 }  // namespace
 
+bool LimitsInForce::on_too_many(Instant now) {
+  bool again = refused_ != Instant{} && now - refused_ < kRefusedAgain;
+  // Refused soon after the higher limits were tried anew: they are not back.
+  bool tried = try_again_ != Instant{} && !lowered_ && now - try_again_ < kRefusedAgain;
+  refused_ = now;
+  if (lowered_ || !(again || tried)) return false;
+  lowered_ = true;
+  patience_ = tried ? std::min(2 * patience_, kMostPatience) : kFirstPatience;
+  try_again_ = now + patience_;
+  return true;
+}
+
+bool LimitsInForce::on_time(Instant now) {
+  if (!lowered_ || now < try_again_) return false;
+  lowered_ = false;
+  try_again_ = now;
+  return true;
+}
+
 StoreClient::StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
-                         double share)
+                         StoreLimits next, double share)
     : io_(io),
       clock_(clock),
       http_(std::make_shared<net::HttpClient>(io, at, kConnections)),
-      limits_(limits),
+      limits_(limits, next),
       request_share_(share),
       write_share_(share),
       requests_(limits.rps * share, 1.0, clock.now()),
@@ -51,11 +75,15 @@
   if (requests == request_share_ && writes == write_share_) return;
   request_share_ = requests;
   write_share_ = writes;
-  requests_.set_rate(limits_.rps * requests, clock_.now());
-  writes_.set_rate(limits_.write_rps * writes, clock_.now());
+  set_rates(clock_.now());
   pump();
 }
 
+void StoreClient::set_rates(Instant now) {
+  requests_.set_rate(limits_.get().rps * request_share_, now);
+  writes_.set_rate(limits_.get().write_rps * write_share_, now);
+}
+
 void StoreClient::txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done) {
   if (spdlog::should_log(spdlog::level::debug)) {
     std::map<std::string, int> kinds;
@@ -133,7 +161,7 @@
   double queued = 0;
   for (const auto& q : queues_)
     for (const auto& j : q) queued += j.writes;
-  double spare = writes_.level(clock_.now()) - queued - limits_.write_rps * write_share_ / 2;
+  double spare = writes_.level(clock_.now()) - queued - limits_.get().write_rps * write_share_ / 2;
   return spare <= 0 ? 0 : static_cast<std::size_t>(spare);
 }
 
@@ -141,7 +169,7 @@
   double queued = 0;
   for (std::size_t i = 0; i <= static_cast<std::size_t>(u); ++i)
     for (const auto& j : queues_[i]) queued += j.writes;
-  return from_seconds(queued / std::max(0.1, limits_.write_rps * write_share_));
+  return from_seconds(queued / std::max(0.1, limits_.get().write_rps * write_share_));
 }
 
 void StoreClient::pump() {
@@ -188,8 +216,15 @@
 }
 
 void StoreClient::judge(const net::Result& r) {
-  if (r.status != 429) return;
   auto now = clock_.now();
+  if (r.status != 429) {
+    if (limits_.on_time(now)) set_rates(now);
+    return;
+  }
+  if (limits_.on_too_many(now)) {
+    spdlog::info("state service: its lower limits seem to be in force");
+    set_rates(now);
+  }
   requests_.drain(now);
   writes_.drain(now);
   spdlog::info("state service: too many requests; this node pauses its own");
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -39,10 +39,29 @@
   double write_rps = 0;
 };
 
+// Which of two limits is in force: the service lowers its own at some moment, without notice. Refusals for
+// their number (429) show it; from time to time the higher one is tried again, ever more rarely.
+class LimitsInForce {
+ public:
+  LimitsInForce(StoreLimits now, StoreLimits next) : now_(now), next_(next) {}
+  const StoreLimits& get() const { return lowered_ ? next_ : now_; }
+  // Each returns whether the limits in force have changed.
+  bool on_too_many(Instant now);
+  bool on_time(Instant now);
+
+ private:
+  StoreLimits now_, next_;
+  bool lowered_ = false;
+  Instant refused_{};  // when a request was refused last
+  Instant try_again_{};
+  Duration patience_{};
+};
+
 class StoreClient : public std::enable_shared_from_this<StoreClient> {
  public:
+  // `next`: the limits that may come into force later.
   StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
-              double share);
+              StoreLimits next, double share);
 
   void txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done);
   void get(std::string target, Urgency u, std::function<void(ReadResult)> done);
@@ -53,7 +72,7 @@
   void set_shares(double requests, double writes);
   // The least time between two requests of a kind that may take half of this node's share of the service's
   // limit.
-  Duration fair_gap() const { return from_seconds(2 / std::max(1.0, limits_.rps * request_share_)); }
+  Duration fair_gap() const { return from_seconds(2 / std::max(1.0, limits_.get().rps * request_share_)); }
   // How many changes could be made now with half of a second's worth left for what is more urgent.
   std::size_t spare_writes() const;
   // How long a change of this urgency would wait now: what overload is judged by.
@@ -71,11 +90,12 @@
   void enqueue(Job job, Urgency u);
   void pump();
   void judge(const net::Result& r);
+  void set_rates(Instant now);
 
   asio::io_context& io_;
   const Clock& clock_;
   std::shared_ptr<net::HttpClient> http_;
-  StoreLimits limits_;
+  LimitsInForce limits_;
   double request_share_, write_share_;
   Budget requests_, writes_;
   std::array<std::deque<Job>, kUrgencies> queues_;
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -87,6 +87,9 @@
 // Machines of a part are spread over this many keys, so that no value outgrows the limit: 8 KiB hold some 60,
 // and all keys of a part fit into one transaction.
 constexpr std::uint32_t kMachineBuckets = 16;
+// Once all controllers know of pipelines, a bucket that outgrows its value goes on in further keys: bucket B
+// in B + 16, B + 32, B + 48. Earlier versions read the first 16 only.
+constexpr std::uint32_t kMachinePieces = 4;
 std::uint32_t machine_bucket(const MachineName& name);
 
 // Values. The parsers throw wire::WireError.
--- /dev/null
+++ b/src/store/sizes.cpp
@@ -0,0 +1,96 @@
+#include "store/sizes.h"
+
+#include <algorithm>
+#include <set>
+
+namespace beaconsill::store {
+namespace {
+
+// A span of finished tasks that could be added to a record.
+struct Span {
+  std::optional<Generation> returned;  // none: they are done
+  std::uint32_t first = 0, end = 0;
+};
+
+void add(Progress& p, const Span& s) {
+  if (!s.returned) return p.done.add_span(s.first, s.end);
+  auto it = std::find_if(p.returned.begin(), p.returned.end(),
+                         [&](const Returned& r) { return r.generation == *s.returned; });
+  if (it == p.returned.end()) it = p.returned.insert(it, {*s.returned, {}});
+  it->tasks.add_span(s.first, s.end);
+}
+
+std::vector<Span> spans_of(const Progress& p) {
+  std::vector<Span> spans;
+  for (const auto& r : p.returned)
+    for (const auto& [first, end] : r.tasks.spans()) spans.push_back({r.generation, first, end});
+  for (const auto& [first, end] : p.done.spans()) spans.push_back({std::nullopt, first, end});
+  return spans;
+}
+
+}  // namespace
+
+std::size_t value_bytes(const wire::Json& value) {
+  return wire::dump(value).size();
+}
+
+Progress fit_progress(const Progress& recorded, const Progress& wanted, std::size_t max_bytes) {
+  if (value_bytes(to_json(wanted)) <= max_bytes) return wanted;
+  Progress fitting{recorded.done, {}};
+  for (const auto& r : recorded.returned)
+    if (std::any_of(wanted.returned.begin(), wanted.returned.end(),
+                    [&](const Returned& w) { return w.generation == r.generation; }))
+      fitting.returned.push_back(r);
+  const auto spans = spans_of(wanted);
+  std::size_t taken = 0;
+  for (std::size_t step = spans.size(); step > 0; step /= 2) {
+    if (taken + step > spans.size()) continue;
+    auto larger = fitting;
+    for (std::size_t i = taken; i < taken + step; ++i) add(larger, spans[i]);
+    if (value_bytes(to_json(larger)) > max_bytes) continue;
+    fitting = std::move(larger);
+    taken += step;
+  }
+  return fitting;
+}
+
+bool fit_grants(Grants& grants, Generation recorded, std::size_t max_bytes) {
+  auto fits = [&] { return value_bytes(to_json(grants)) <= max_bytes; };
+  while (!fits()) {
+    if (grants.chunks.empty()) return false;
+    auto& last = grants.chunks.back();
+    if (last.generation <= recorded || last.gang_attempt.value()) return false;
+    auto spans = last.tasks.spans();
+    if (spans.size() < 2) {
+      grants.chunks.pop_back();
+      continue;
+    }
+    auto middle = std::next(spans.begin(), static_cast<std::ptrdiff_t>(spans.size() / 2));
+    last.tasks.remove_span(middle->first, spans.rbegin()->second);
+  }
+  return !grants.chunks.empty() && grants.chunks.back().generation > recorded;
+}
+
+std::vector<std::vector<MachineRecord>> split_machines(const std::vector<MachineRecord>& registered,
+                                                       std::vector<MachineRecord> wanted,
+                                                       std::size_t max_bytes, std::size_t max_pieces) {
+  std::set<MachineName> known;
+  for (const auto& m : registered) known.insert(m.name);
+  std::stable_partition(wanted.begin(), wanted.end(), [&](const auto& m) { return known.contains(m.name); });
+  std::vector<std::vector<MachineRecord>> pieces(1);
+  const auto empty = value_bytes(to_json(std::vector<MachineRecord>{}));
+  auto bytes = empty;
+  for (auto& m : wanted) {
+    auto more = value_bytes(to_json(std::vector{m})) - empty + 1;  // and a comma
+    if (bytes + more > max_bytes) {
+      if (pieces.size() == max_pieces) break;
+      pieces.emplace_back();
+      bytes = empty;
+    }
+    bytes += more;
+    pieces.back().push_back(std::move(m));
+  }
+  return pieces;
+}
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/src/store/sizes.h
@@ -0,0 +1,31 @@
+// Values that fit the state service's limit. What was written under a higher limit stays readable; what is
+// written from now on has to fit, and must never lose what is recorded already.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "store/records.h"
+
+namespace beaconsill::store {
+
+// Bytes of the value as it's sent.
+std::size_t value_bytes(const wire::Json& value);
+
+// As much of `wanted` as fits into `max_bytes`, always with all of `recorded` that `wanted` still holds. What
+// is left out counts as neither done nor returned until a later record, which is safe: sets of finished tasks
+// get shorter as they fill up.
+Progress fit_progress(const Progress& recorded, const Progress& wanted, std::size_t max_bytes);
+
+// Takes tasks of the chunks beyond generation `recorded` back out until the value fits: the job gets the rest
+// later. False: even what is recorded doesn't fit, or a gang, which is granted as a whole, doesn't.
+bool fit_grants(Grants& grants, Generation recorded, std::size_t max_bytes);
+
+// The machines of one bucket of the registry as values of one or more keys (at most `max_pieces`), each of
+// which fits. Those `registered` come first: they must not fall out while they may run tasks. Machines that
+// find no place are left out, and get no tasks until they do.
+std::vector<std::vector<MachineRecord>> split_machines(const std::vector<MachineRecord>& registered,
+                                                       std::vector<MachineRecord> wanted,
+                                                       std::size_t max_bytes, std::size_t max_pieces);
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/tests/pipeline_sizes_test.cpp
@@ -0,0 +1,145 @@
+// Values that fit the limits to come, also on top of what was written under higher ones.
+#include <gtest/gtest.h>
+
+#include "store/client.h"
+#include "store/sizes.h"
+
+namespace beaconsill::store {
+namespace {
+
+// Every other of the first `n` tasks from `first` on.
+Ranges scattered(std::uint32_t n, std::uint32_t first = 0) {
+  Ranges r;
+  for (std::uint32_t i = first; i < n; i += 2) r.add(i);
+  return r;
+}
+
+bool holds(const Ranges& all, const Ranges& some) {
+  Ranges missing = some;
+  missing.remove(all);
+  return missing.empty();
+}
+
+TEST(Sizes, ProgressFitsAndLosesNothingRecorded) {
+  struct Case {
+    const char* what;
+    Progress recorded, wanted;
+    bool whole, news;
+  };
+  const Case cases[] = {
+      {"small: as it is", {}, {Ranges::span(0, 9), {}}, true, true},
+      {"too many pieces: a part of them", {}, {scattered(2000), {}}, false, true},
+      {"on top of what is recorded", {scattered(300), {}}, {scattered(2000), {}}, false, true},
+      {"returned before done", {}, {scattered(2000), {{Generation(3), scattered(100, 1)}}}, false, true},
+      {"recorded under a higher limit", {scattered(1500), {}}, {scattered(2000), {}}, false, false},
+      {"all done: short again", {scattered(1500), {}}, {Ranges::span(0, 2000), {}}, true, true},
+      {"returns of chunks that are gone go",
+       {scattered(100), {{Generation(1), scattered(300, 1)}}},
+       {scattered(900), {}},
+       true,
+       true},
+  };
+  constexpr std::size_t kMax = 2048;
+  for (const auto& c : cases) {
+    auto p = fit_progress(c.recorded, c.wanted, kMax);
+    EXPECT_EQ(p == c.wanted, c.whole) << c.what;
+    EXPECT_EQ(p != c.recorded, c.news) << c.what;
+    EXPECT_TRUE(holds(p.done, c.recorded.done)) << c.what;
+    EXPECT_TRUE(holds(c.wanted.done, p.done)) << c.what;
+    for (const auto& r : p.returned) {
+      auto wanted = std::find_if(c.wanted.returned.begin(), c.wanted.returned.end(),
+                                 [&](const auto& w) { return w.generation == r.generation; });
+      ASSERT_NE(wanted, c.wanted.returned.end()) << c.what;
+      EXPECT_TRUE(holds(wanted->tasks, r.tasks)) << c.what;
+    }
+    if (c.news) {
+      EXPECT_LE(value_bytes(to_json(p)), kMax) << c.what;
+    }
+  }
+  // Filled up as far as it goes: not much less than the limit.
+  EXPECT_GT(value_bytes(to_json(fit_progress({}, {scattered(2000), {}}, kMax))), kMax * 9 / 10);
+}
+
+TEST(Sizes, GrantsAreShortenedNeverThoseRecorded) {
+  auto chunk = [](std::uint64_t g, Ranges r, std::uint64_t attempt = 0) {
+    return Chunk{Generation(g), PartId(0), Term(1), std::move(r), std::nullopt, false, Attempt(attempt)};
+  };
+  struct Case {
+    const char* what;
+    std::vector<Chunk> chunks;
+    bool fits;
+    std::size_t left;
+  };
+  const Case cases[] = {
+      {"small", {chunk(1, scattered(20)), chunk(2, scattered(20, 1))}, true, 2},
+      {"the new one is shortened", {chunk(1, scattered(300)), chunk(2, scattered(2000, 1))}, true, 2},
+      {"one of two new ones goes",
+       {chunk(1, scattered(1000)), chunk(2, scattered(60, 1)), chunk(3, scattered(2000, 1001))},
+       false,
+       0},
+      {"what is recorded alone is too much",
+       {chunk(1, scattered(2000)), chunk(2, scattered(20, 1))},
+       false,
+       0},
+      {"a gang isn't shortened", {chunk(2, scattered(2000), 1)}, false, 0},
+  };
+  for (const auto& c : cases) {
+    Grants g{c.chunks, c.chunks.back().generation};
+    auto before = g.chunks;
+    EXPECT_EQ(fit_grants(g, Generation(1), 1800), c.fits) << c.what;
+    if (!c.fits) continue;
+    EXPECT_LE(value_bytes(to_json(g)), 1800u) << c.what;
+    EXPECT_EQ(g.chunks.size(), c.left) << c.what;
+    EXPECT_EQ(g.chunks[0], before[0]) << c.what;
+    EXPECT_TRUE(holds(before[1].tasks, g.chunks[1].tasks)) << c.what;
+    EXPECT_FALSE(g.chunks[1].tasks.empty()) << c.what;
+  }
+}
+
+TEST(Sizes, MachinesAreSplitOverKeysThoseRegisteredFirst) {
+  auto machine = [](int i) {
+    return MachineRecord{MachineName("host-" + std::to_string(100000 + i)), MachineType("kiboko-small"),
+                         Zone("moshi-vault"), false, "10.1.0.232:9000"};
+  };
+  std::vector<MachineRecord> all, registered;
+  for (int i = 0; i < 60; ++i) all.push_back(machine(i));
+  for (int i = 50; i < 60; ++i) registered.push_back(machine(i));
+  auto pieces = split_machines(registered, all, 2048, 4);
+  EXPECT_EQ(pieces.size(), 3u);
+  std::size_t n = 0;
+  for (const auto& p : pieces) {
+    EXPECT_LE(value_bytes(to_json(p)), 2048u);
+    n += p.size();
+  }
+  EXPECT_EQ(n, 60u);
+  // While earlier versions may own the part, all they read is the first key: who doesn't fit waits.
+  pieces = split_machines(registered, all, 2048, 1);
+  ASSERT_EQ(pieces.size(), 1u);
+  EXPECT_GT(pieces[0].size(), 15u);
+  for (std::size_t i = 0; i < registered.size(); ++i) EXPECT_EQ(pieces[0][i], registered[i]);
+  EXPECT_EQ(split_machines({}, {}, 2048, 4).size(), 1u);
+}
+
+TEST(Limits, LowerOnesAreTakenOnceRefusalsShowThem) {
+  auto at = [](double s) { return Instant{} + from_seconds(1000 + s); };
+  LimitsInForce l({60, 20}, {60, 15});
+  // A single refusal: several nodes asked at once.
+  EXPECT_FALSE(l.on_too_many(at(0)));
+  EXPECT_FALSE(l.on_too_many(at(30)));
+  EXPECT_EQ(l.get().write_rps, 20);
+  EXPECT_TRUE(l.on_too_many(at(32)));
+  EXPECT_EQ(l.get().write_rps, 15);
+  EXPECT_FALSE(l.on_time(at(60)));
+  // Tried again after a minute, and given up at the first refusal, for two minutes.
+  EXPECT_TRUE(l.on_time(at(93)));
+  EXPECT_EQ(l.get().write_rps, 20);
+  EXPECT_TRUE(l.on_too_many(at(95)));
+  EXPECT_FALSE(l.on_time(at(200)));
+  EXPECT_TRUE(l.on_time(at(216)));
+  // Not refused any more: they stay.
+  EXPECT_FALSE(l.on_too_many(at(260)));
+  EXPECT_EQ(l.get().write_rps, 20);
+}
+
+}  // namespace
+}  // namespace beaconsill::store
