--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -10,6 +10,21 @@
 namespace {
 // Between the last completion of a job and the first start of the next in a pipeline.
 constexpr int kReportsBetweenSteps = 3;
+
+// What a chunk is written with: what it has to hold, `needed`, or with the tasks that its part has recorded
+// as done, whichever is the shorter text; nobody starts those. An array whose tasks end in no order would
+// outgrow its value otherwise.
+Ranges shorter_chunk(const Ranges& needed, const Ranges& not_returned, const store::Job& job, PartId part) {
+  auto progress = job.progress.find(part);
+  if (progress == job.progress.end() || needed.spans().size() <= not_returned.spans().size()) return needed;
+  Ranges whole = progress->second.value.done;
+  Ranges others = whole;
+  others.remove(not_returned);
+  whole.remove(others);
+  whole.add(needed);
+  return whole.spans().size() < needed.spans().size() ? whole : needed;
+}
+
 }  // namespace
 
 Lead::Lead(LeadParams params, std::vector<config::TeamSettings> teams,
@@ -59,24 +74,19 @@
     Ranges r = c.tasks;
     if (auto p = job->progress.find(c.part); p != job->progress.end())
       r.remove(store::given_back(p->second.value, c.generation));
-    Ranges with_done = r;
+    const Ranges not_returned = r;
     r.remove(recorded);
     auto granted = r.count();
     if (told != told_.end())
-      if (auto t = told->second.find(c.part); t != told->second.end()) {
-        auto back = store::given_back(t->second.progress, c.generation);
-        r.remove(back);
-        with_done.remove(back);
-      }
+      if (auto t = told->second.find(c.part); t != told->second.end())
+        r.remove(store::given_back(t->second.progress, c.generation));
     if (r.count() < granted) {
       e.told_returned += granted - r.count();
       e.told_by.insert(c.part);
     }
     if (r.empty()) continue;
-    // A chunk may go on holding tasks that are recorded as done, which nobody starts: of the two texts the
-    // shorter is written, or an array whose tasks end in no order outgrows its value.
     auto kept = c;
-    kept.tasks = with_done.spans().size() < r.spans().size() ? with_done : r;
+    kept.tasks = shorter_chunk(r, not_returned, *job, c.part);
     e.kept.emplace_back(r, std::move(kept));
     r.remove(e.done);
     if (r.empty()) continue;
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -186,7 +186,9 @@
     const auto* job = ctx_.view().job(g.job);
     auto recorded = job ? job->grants.value.last : Generation();
     auto most = static_cast<std::size_t>(static_cast<double>(ctx_.settings.value_bytes()) * kValueShare);
-    if (g.grants.recall || store::fit_grants(g.grants, recorded, most)) return false;
+    bool fits = g.grants.recall ? store::value_bytes(store::to_json(g.grants)) <= most
+                                : store::fit_grants(g.grants, recorded, most);
+    if (fits) return false;
     spdlog::info("{}: its grants are in too many pieces for one value, it gets no more for now",
                  g.job.value());
     return true;
@@ -275,7 +277,8 @@
     t.writes.push_back({store::leader_role_key(), store::to_json(role), std::nullopt});
   }
   writing_versions_ = true;
-  ctx_.store->txn(t, store::Urgency::kWork, [this, t, all](store::TxnResult r) {
+  // Users are refused until it is written.
+  ctx_.store->txn(t, store::Urgency::kUser, [this, t, all](store::TxnResult r) {
     if (r.outcome == store::Outcome::kOk) {
       writing_versions_ = false;
       if (all) spdlog::info("all controllers know version {}", store::kFormatVersion);
--- a/tests/pipeline_lead_test.cpp
+++ b/tests/pipeline_lead_test.cpp
@@ -186,6 +186,37 @@
   EXPECT_EQ(p.granted(3, 1030), (std::vector{run(1), run(2)}));
 }
 
+// An array whose tasks end in no order: its grant's value stays short, and holds what is out and what was
+// returned by word alone no more.
+TEST(Sizes, ChunksKeepWhatIsDoneWhereThatIsShorter) {
+  Pipeline p;
+  p.job(1, {}, [](wire::JobSpec& s) {
+    s.tasks = 40;
+    s.each = {0.1, 0, 1};
+  });
+  auto& job = p.jobs[1];
+  job.grants = {
+      {{{Generation(1), PartId(0), Term(1), Ranges::span(0, 30), std::nullopt, false, {}}}, Generation(1)},
+      Revision(5)};
+  Ranges done;
+  for (std::uint32_t i = 0; i < 30; i += 2) done.add(i);
+  job.progress[PartId(0)] = {{done, {{Generation(1), Ranges::span(25, 30)}}}, Revision(6)};
+  p.show(1);
+  auto ask = p.lead.begin_round(at(1), WallMs(0), {PartId(0)});
+  ASSERT_TRUE(ask);
+  wire::ShapeRoom room{{Zone("a"), 1000, 0, 0, 0}};
+  p.lead.on_answer({ask->round, PartId(0), Term(1), Revision(9), {room}}, at(1));
+  auto grants = p.lead.decide(at(1), {{PartId(0), Term(1)}});
+  ASSERT_TRUE(grants && grants->size() == 1);
+  const auto& chunks = grants->at(0).grants.chunks;
+  ASSERT_EQ(chunks.size(), 2u);
+  EXPECT_EQ(chunks[0].tasks, Ranges::span(0, 25));
+  // The new one holds what is pending only.
+  Ranges pending = Ranges::span(25, 40);
+  pending.remove(done);
+  EXPECT_EQ(chunks[1].tasks, pending);
+}
+
 TEST(PipelineNeeds, CostNoMoreThanWhatChanges) {
   constexpr std::size_t kChain = 10000;
   PipelineNeeds needs;
