A transaction refused for its size is split; records of many parts are tidied in steps

Cause: with 5 changes a transaction the keys of a job of more than 3 parts would never be dropped, and a limit below the announced one would be run into again and again.

Change: a 400 halves the changes of the next transactions, or the value if there was one only. tidy drops grants and progress first and the job's record last, in as many steps as it needs.

--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -50,7 +50,7 @@
   p.report_period = from_seconds(ctx_.settings.report_s);
   p.longest_wait = ctx_.policy.longest_wait;
   p.rules = {ctx_.policy.task_cap, ctx_.policy.reserve};
-  p.max_writes = std::min(kMaxGrants, ctx_.settings.txn_ops);
+  p.max_writes = std::min(kMaxGrants, ctx_.store->sizes().txn_ops());
   lead_ = std::make_unique<lead::Lead>(p, ctx_.settings.teams, ctx_.settings.objectives);
   capacity_ = std::make_unique<lead::Capacity>(
       lead::CapacityParams{ctx_.policy.idle_return, ctx_.policy.quiet_return,
@@ -179,13 +179,14 @@
   // Services go at once, arrays as the budget of writes allows: what they would use up now, the next service
   // would wait for.
   bool services = lead_->for_services();
-  auto grants =
-      lead_->decide(now, all, services ? kMaxGrants : std::max<std::size_t>(1, ctx_.store->spare_writes()));
+  auto grants = lead_->decide(
+      now, all, services ? changes_at_once() : std::max<std::size_t>(1, ctx_.store->spare_writes()));
   if (!grants) return;
   std::erase_if(*grants, [&](auto& g) {
     const auto* job = ctx_.view().job(g.job);
     auto recorded = job ? job->grants.value.last : Generation();
-    auto most = static_cast<std::size_t>(static_cast<double>(ctx_.settings.value_bytes()) * kValueShare);
+    auto most =
+        static_cast<std::size_t>(static_cast<double>(ctx_.store->sizes().value_bytes()) * kValueShare);
     bool fits = g.grants.recall ? store::value_bytes(store::to_json(g.grants)) <= most
                                 : store::fit_grants(g.grants, recorded, most);
     if (fits) return false;
@@ -229,7 +230,7 @@
   if (!still_leader() || ctx_.now() < ends_again_) return;
   std::vector<JobId> ids;
   for (const auto& id : lead_->finished()) {
-    if (ending_.contains(id) || ids.size() >= max_ends()) continue;
+    if (ending_.contains(id) || ids.size() >= changes_at_once()) continue;
     const auto* job = ctx_.view().job(id);
     if (!job) continue;
     ids.push_back(id);
@@ -241,7 +242,7 @@
 }
 
 void LeaderDuty::write_cancelled() {
-  auto most = std::min(max_ends(), ctx_.store->spare_writes());
+  auto most = std::min(changes_at_once(), ctx_.store->spare_writes());
   if (!still_leader() || most == 0 || ctx_.now() < ends_again_) return;
   std::vector<JobId> ids;
   for (const auto& id : ctx_.view().dependencies().unrecorded()) {
@@ -288,8 +289,8 @@
   });
 }
 
-std::size_t LeaderDuty::max_ends() const {
-  return std::min(kMaxGrants, ctx_.settings.txn_ops);
+std::size_t LeaderDuty::changes_at_once() const {
+  return std::min(kMaxGrants, ctx_.store->sizes().txn_ops());
 }
 
 void LeaderDuty::write_ends(const std::vector<JobId>& ids, store::End end, store::Urgency urgency) {
@@ -331,10 +332,13 @@
     const auto* job = ctx_.view().job(id);
     // Without an end of its own, others that it was cancelled through are still needed to know its state.
     if (!job || !ctx_.view().ending(id).exists()) continue;
-    std::vector<wire::Condition> keys{{store::job_key(id), job->created}};
+    // The job's record last: if not all go at once, what is left is still known to be of a job that is over.
+    std::vector<wire::Condition> keys;
     if (job->grants.exists()) keys.push_back({store::grants_key(id), job->grants.version});
     for (const auto& [part, p] : job->progress) keys.push_back({store::progress_key(part, id), p.version});
-    if (t.writes.size() + keys.size() > std::min<std::size_t>({ctx_.settings.txn_ops, 8, spare})) {
+    keys.push_back({store::job_key(id), job->created});
+    if (keys.size() > ctx_.store->sizes().txn_ops()) keys.resize(ctx_.store->sizes().txn_ops());
+    if (t.writes.size() + keys.size() > std::min<std::size_t>({ctx_.store->sizes().txn_ops(), 8, spare})) {
       if (t.writes.empty()) continue;
       break;
     }
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -47,8 +47,8 @@
   void capacity();
   void list_machines();
   std::map<PartId, Term> terms() const;
-  // Ends written in one transaction.
-  std::size_t max_ends() const;
+  // Jobs that one transaction can be about.
+  std::size_t changes_at_once() const;
   // The leader's transactions hold only while it's the leader.
   std::optional<wire::Condition> still_leader() const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,7 +39,7 @@
   endpoint(s.peer_listen, "internal_addr");
   for (const auto& p : s.peers) endpoint(p.address, "known.peer_addr");
   ctx_.store = std::make_shared<store::StoreClient>(
-      io, clock, state, store::StoreLimits{s.state_rps, s.state_write_rps},
+      io, clock, state, store::StoreLimits{s.state_rps, s.state_write_rps, s.txn_ops, s.value_bytes()},
       store::StoreLimits{s.next_state_rps, s.next_state_write_rps},
       1.0 / static_cast<double>(s.controllers()));
   ctx_.mirror = std::make_shared<store::Mirror>(io, clock, ctx_.store, kSyncPeriod,
--- a/src/node/part_records.cpp
+++ b/src/node/part_records.cpp
@@ -68,9 +68,9 @@
   bool several = view.all_know(store::kPipelinesSince, ctx_.parting.nodes());
   for (std::uint32_t k = 1; k < store::kMachinePieces; ++k)
     several |= !view.machines(id, bucket + k * store::kMachineBuckets).value.empty();
-  auto most = std::min<std::size_t>(store::kMachinePieces, ctx_.settings.txn_ops);
-  auto pieces =
-      store::split_machines(registered, std::move(machines), ctx_.settings.value_bytes(), several ? most : 1);
+  auto most = std::min<std::size_t>(store::kMachinePieces, ctx_.store->sizes().txn_ops());
+  auto pieces = store::split_machines(registered, std::move(machines), ctx_.store->sizes().value_bytes(),
+                                      several ? most : 1);
   pieces.resize(store::kMachinePieces);
   std::map<std::uint32_t, std::vector<store::MachineRecord>> writes;
   for (std::uint32_t k = 0; k < store::kMachinePieces; ++k) {
@@ -90,7 +90,7 @@
   t.conditions.push_back({store::part_role_key(id), role.version});
   for (auto& [b, machines] : buckets) {
     auto pieces = registry_writes(id, b, std::move(machines));
-    if (t.writes.size() + pieces.size() > ctx_.settings.txn_ops && !t.writes.empty()) break;
+    if (t.writes.size() + pieces.size() > ctx_.store->sizes().txn_ops() && !t.writes.empty()) break;
     for (auto& [piece, value] : pieces) {
       auto key = store::machines_key(id, piece);
       t.conditions.push_back({key, ctx_.view().machines(id, piece).version});
@@ -123,7 +123,8 @@
   if (!role.exists() || role.value.term != o.part->term()) return;
   const auto& leader = ctx_.view().leader();
   bool told = leader.exists() && peers_.reachable(leader.value.node);
-  auto most = std::min<std::size_t>({ctx_.settings.txn_ops, 6, told ? ctx_.store->spare_writes() : SIZE_MAX});
+  auto most =
+      std::min<std::size_t>({ctx_.store->sizes().txn_ops(), 6, told ? ctx_.store->spare_writes() : SIZE_MAX});
   if (most == 0) return;
   wire::Txn t;
   t.conditions.push_back({store::part_role_key(id), role.version});
@@ -136,10 +137,10 @@
     auto key = store::progress_key(id, job);
     auto have = record->progress.find(id);
     auto recorded = have == record->progress.end() ? store::Versioned<store::Progress>{} : have->second;
-    auto value = store::fit_progress(recorded.value, progress, ctx_.settings.value_bytes());
+    auto value = store::fit_progress(recorded.value, progress, ctx_.store->sizes().value_bytes());
     auto json = store::to_json(value);
     // Written under a higher limit: it gets shorter as the rest ends.
-    if (value == recorded.value || store::value_bytes(json) > ctx_.settings.value_bytes()) continue;
+    if (value == recorded.value || store::value_bytes(json) > ctx_.store->sizes().value_bytes()) continue;
     t.conditions.push_back({key, recorded.version});
     t.writes.push_back({key, std::move(json), std::nullopt});
     if (t.writes.size() >= most) break;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -1,5 +1,6 @@
 #include "store/client.h"
 
+#include <algorithm>
 #include <map>
 
 #include "base/log.h"
@@ -14,6 +15,8 @@
 // Refusals this close together are no accident of several nodes asking at once.
 constexpr Duration kRefusedAgain = std::chrono::seconds(10);
 constexpr Duration kFirstPatience = std::chrono::seconds(60);
+// No value is thought to be refused for its size below this.
+constexpr std::size_t kLeastValue = 512;
 constexpr Duration kMostPatience = std::chrono::seconds(600);
 
 ReadResult to_read(const net::Result& r) {
@@ -59,12 +62,26 @@
   return true;
 }
 
+void SizesInForce::on_refused(const wire::Txn& t) {
+  if (t.writes.size() > 1) {
+    txn_ops_ = std::min(txn_ops_, t.writes.size() / 2);
+    return;
+  }
+  if (t.writes.empty() || !t.writes[0].value) return;
+  auto bytes = wire::dump(*t.writes[0].value).size();
+  if (bytes <= kLeastValue || bytes > value_bytes_) return;
+  value_bytes_ = std::max(kLeastValue, bytes / 2);
+  // It was this value, not the number of changes, that the larger ones were refused for.
+  txn_ops_ = most_ops_;
+}
+
 StoreClient::StoreClient(asio::io_context& io, const Clock& clock, net::Tcp::endpoint at, StoreLimits limits,
                          StoreLimits next, double share)
     : io_(io),
       clock_(clock),
       http_(std::make_shared<net::HttpClient>(io, at, kConnections)),
       limits_(limits, next),
+      sizes_(std::min(limits.txn_ops, next.txn_ops), std::min(limits.value_bytes, next.value_bytes)),
       request_share_(share),
       write_share_(share),
       requests_(limits.rps * share, 1.0, clock.now()),
@@ -92,7 +109,10 @@
     for (const auto& [kind, n] : kinds) spdlog::debug("state service: {} x {}", kind, n);
   }
   Job job{"POST", "/txn", wire::render_txn(t), static_cast<double>(t.writes.size()), {}, kTimeout, {}};
-  job.done = [done = std::move(done)](net::Result r) {
+  // With a hold it may have been refused for that.
+  bool bare =
+      std::none_of(t.writes.begin(), t.writes.end(), [](const auto& w) { return w.hold.has_value(); });
+  job.done = [weak = weak_from_this(), bare, t = std::move(t), done = std::move(done)](net::Result r) {
     TxnResult out;
     if (!r.answered()) {
       out.outcome = r.sent ? Outcome::kUnknown : Outcome::kRefused;
@@ -111,6 +131,7 @@
     } else {
       spdlog::error("state service: a transaction was answered {}: {}", r.status, r.body.substr(0, 200));
       out.outcome = Outcome::kBad;
+      if (auto me = weak.lock(); me && bare && r.status == 400) me->sizes_.on_refused(t);
     }
     done(out);
   };
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -37,6 +37,8 @@
 struct StoreLimits {
   double rps = 0;
   double write_rps = 0;
+  std::size_t txn_ops = SIZE_MAX;
+  std::size_t value_bytes = SIZE_MAX;
 };
 
 // Which of two limits is in force: the service lowers its own at some moment, without notice. Refusals for
@@ -57,6 +59,22 @@
   Duration patience_{};
 };
 
+// The sizes that the service takes: those of the settings, less once it has refused a transaction for its
+// size.
+class SizesInForce {
+ public:
+  SizesInForce(std::size_t txn_ops, std::size_t value_bytes)
+      : most_ops_(txn_ops), txn_ops_(txn_ops), value_bytes_(value_bytes) {}
+  std::size_t txn_ops() const { return txn_ops_; }
+  std::size_t value_bytes() const { return value_bytes_; }
+  // A transaction was answered 400: the next ones are half as large. One with a single change can only be too
+  // large by its value.
+  void on_refused(const wire::Txn& t);
+
+ private:
+  std::size_t most_ops_, txn_ops_, value_bytes_;
+};
+
 class StoreClient : public std::enable_shared_from_this<StoreClient> {
  public:
   // `next`: the limits that may come into force later.
@@ -75,6 +93,8 @@
   Duration fair_gap() const { return from_seconds(2 / std::max(1.0, limits_.get().rps * request_share_)); }
   // How many changes could be made now with half of a second's worth left for what is more urgent.
   std::size_t spare_writes() const;
+  // What a transaction and a value may hold now.
+  const SizesInForce& sizes() const { return sizes_; }
   // How long a change of this urgency would wait now: what overload is judged by.
   Duration write_wait(Urgency u) const;
   void stop();
@@ -96,6 +116,7 @@
   const Clock& clock_;
   std::shared_ptr<net::HttpClient> http_;
   LimitsInForce limits_;
+  SizesInForce sizes_;
   double request_share_, write_share_;
   Budget requests_, writes_;
   std::array<std::deque<Job>, kUrgencies> queues_;
--- a/tests/pipeline_sizes_test.cpp
+++ b/tests/pipeline_sizes_test.cpp
@@ -141,5 +141,27 @@
   EXPECT_EQ(l.get().write_rps, 20);
 }
 
+TEST(Limits, ARefusedTransactionIsSplit) {
+  auto txn = [](std::size_t writes, std::size_t bytes) {
+    wire::Txn t;
+    for (std::size_t i = 0; i < writes; ++i)
+      t.writes.push_back({"k", wire::Json(std::string(bytes, 'x')), {}});
+    return t;
+  };
+  SizesInForce s(16, 8192);
+  s.on_refused(txn(10, 10));
+  EXPECT_EQ(s.txn_ops(), 5u);
+  s.on_refused(txn(5, 10));
+  EXPECT_EQ(s.txn_ops(), 2u);
+  s.on_refused(txn(2, 10));
+  EXPECT_EQ(s.txn_ops(), 1u);
+  EXPECT_EQ(s.value_bytes(), 8192u);
+  s.on_refused(txn(1, 3998));
+  EXPECT_EQ(s.value_bytes(), 2000u);
+  EXPECT_EQ(s.txn_ops(), 16u);  // the larger transactions were refused for that value
+  s.on_refused(txn(1, 8));      // so small a value isn't refused for its size
+  EXPECT_EQ(s.value_bytes(), 2000u);
+}
+
 }  // namespace
 }  // namespace beaconsill::store
