--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -10,6 +10,8 @@
 namespace {
 // Between the last completion of a job and the first start of the next in a pipeline.
 constexpr int kReportsBetweenSteps = 3;
+// Of the pieces with which a job's grants didn't fit into a value: with less than so many it's tried again.
+constexpr double kShorter = 0.9;
 
 // What a chunk is written with: what it has to hold, `needed`, or with the tasks that its part has recorded
 // as done, whichever is the shorter text; nobody starts those. An array whose tasks end in no order would
@@ -110,6 +112,7 @@
     e.counts_from = *ready_since;
   }
   e.need = need_of(id, e);
+  if (static_cast<double>(pieces(e)) < static_cast<double>(e.too_long) * kShorter) e.too_long = 0;
   if (fresh || (had_pending == 0 && !e.pending.empty())) e.waiting_since = now;
   // A new job, or a replica that lost its machine, is asked about at once.
   if (!e.pending.empty() &&
@@ -118,6 +121,17 @@
   ledger(e, +1);
 }
 
+std::size_t Lead::pieces(const Entry& e) {
+  std::size_t n = 0;
+  for (const auto& [tasks, chunk] : e.kept) n += 1 + chunk.tasks.spans().size();
+  return n;
+}
+
+void Lead::on_too_long(const JobId& id) {
+  if (auto it = jobs_.find(id); it != jobs_.end())
+    it->second.too_long = std::max<std::size_t>(1, pieces(it->second));
+}
+
 void Lead::wait_for_others(const JobId& id, const store::JobRecord& record) {
   const auto& spec = *record.spec;
   // To be complete in time it has to start a run time earlier, and what it awaits is seen to be done and is
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -67,6 +67,9 @@
   bool for_services() const;
   // The transaction of the round's grants ended; `revision` if it was applied.
   void on_granted(const std::vector<Grant>& grants, std::optional<Revision> revision, Instant now);
+  // The job's grants don't fit into one value: it's asked about again once what it holds has got shorter.
+  // Otherwise it would take a place in every round from those behind it.
+  void on_too_long(const JobId& id);
   bool round_open() const { return round_.has_value(); }
 
   // ---- Outcomes
@@ -101,6 +104,7 @@
     WallMs counts_from;               // its submission, or when the last job that it awaits was done
     Need need;                        // its own, and that of the jobs that wait for it
     bool granted_once = false;
+    std::size_t too_long = 0;  // pieces in `kept` when they didn't fit into a value with more; 0: they do
     Instant waiting_since{};
   };
   struct Sent {
@@ -130,6 +134,8 @@
   // The times that the objectives and the job itself set. Deadlines count from its submission, the others
   // from `counts_from`; none: they aren't known yet.
   std::vector<std::int64_t> due(const store::JobRecord& record, std::optional<WallMs> counts_from) const;
+  // What the value of its grants has to hold, in chunks and ranges.
+  static std::size_t pieces(const Entry& e);
   void wait_for_others(const JobId& id, const store::JobRecord& record);
   // Jobs that wait for these need more of them.
   void refresh_needs();
--- a/src/lead/lead_order.cpp
+++ b/src/lead/lead_order.cpp
@@ -69,7 +69,7 @@
   }
   std::vector<QueuedJob> waiting;
   for (const auto& [id, e] : jobs_) {
-    if (e.pending.empty() || e.end) continue;
+    if (e.pending.empty() || e.end || e.too_long > 0) continue;
     auto n = std::min(e.pending.count(), allowed_by_quota(e, usage_));
     bool gang = e.record.spec->kind == JobKind::kGang;
     // A gang is granted as a whole, and anew only once nothing of its last attempt is left anywhere.
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -192,6 +192,7 @@
     if (fits) return false;
     spdlog::info("{}: its grants are in too many pieces for one value, it gets no more for now",
                  g.job.value());
+    lead_->on_too_long(g.job);
     return true;
   });
   if (grants->empty()) return lead_->on_granted({}, std::nullopt, now);
--- a/tests/pipeline_lead_test.cpp
+++ b/tests/pipeline_lead_test.cpp
@@ -217,6 +217,27 @@
   EXPECT_EQ(chunks[1].tasks, pending);
 }
 
+// Found on the first day with smaller values: two arrays whose grants didn't fit any more took their places
+// in every round.
+TEST(Sizes, AJobWhoseGrantsAreTooLongLeavesItsPlaceToOthers) {
+  Pipeline p;
+  p.job(1, {}, [](wire::JobSpec& s) { s.tasks = 9; });
+  auto& job = p.jobs[1];
+  for (std::uint32_t i = 0; i < 4; ++i)
+    job.grants.value.chunks.push_back(
+        {Generation(i + 1), PartId(0), Term(1), Ranges::span(i, i + 1), std::nullopt, false, {}});
+  job.grants.value.last = Generation(4);
+  job.grants.version = Revision(5);
+  p.show(1);
+  EXPECT_EQ(p.granted(1), std::vector{run(1)});
+  p.lead.on_too_long(run(1));
+  p.show(1);
+  EXPECT_TRUE(p.granted(3).empty());
+  job.progress[PartId(0)] = {{Ranges::span(0, 2), {}}, Revision(6)};
+  p.show(1);
+  EXPECT_EQ(p.granted(5), std::vector{run(1)});
+}
+
 TEST(PipelineNeeds, CostNoMoreThanWhatChanges) {
   constexpr std::size_t kChain = 10000;
   PipelineNeeds needs;
