--- a/src/api/reply_deadline.h
+++ b/src/api/reply_deadline.h
@@ -29,8 +29,8 @@
     void answer(net::Response r);
   };
   struct State {
-    State(asio::io_context& io, Duration limit_, net::Response late_)
-        : timer(io), limit(limit_), late(std::move(late_)) {}
+    State(asio::io_context& io, Duration within, net::Response refusal)
+        : timer(io), limit(within), late(std::move(refusal)) {}
     asio::steady_timer timer;
     Duration limit;
     net::Response late;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -47,12 +47,18 @@
   std::vector<TeamSettings> teams;
   std::vector<Objective> objectives;
   double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
-  double state_rps = 0, state_write_rps = 0, value_kb = 0;
+  // Sizes are those that hold now and after `state.next` has come: what is written must stay writable. Rates
+  // come as they are now and as they will be.
+  double value_kb = 64;  // the protocol lets a whole transaction hold no more
   std::size_t txn_ops = 0;
+  double state_rps = 0, state_write_rps = 0;
+  double next_state_rps = 0, next_state_write_rps = 0;
   double cloud_rps = 0, list_lag_s = 0;
   double cpu_share = 0, memory_mb = 0;
   std::size_t max_connections = 0;
 
+  // Bytes that a value may take up.
+  std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024); }
   std::size_t controllers() const { return peers.size() + 1; }
   const TeamSettings* team(const Team& name) const;
 };
--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -7,6 +7,27 @@
 #include "base/log.h"
 
 namespace beaconsill::lead {
+namespace {
+// Between the last completion of a job and the first start of the next in a pipeline.
+constexpr int kReportsBetweenSteps = 3;
+// Of the pieces with which a job's grants didn't fit into a value: with less than so many it's tried again.
+constexpr double kShorter = 0.9;
+
+// What a chunk is written with: what it has to hold, `needed`, or with the tasks that its part has recorded
+// as done, whichever is the shorter text; nobody starts those. An array whose tasks end in no order would
+// outgrow its value otherwise.
+Ranges shorter_chunk(const Ranges& needed, const Ranges& not_returned, const store::Job& job, PartId part) {
+  auto progress = job.progress.find(part);
+  if (progress == job.progress.end() || needed.spans().size() <= not_returned.spans().size()) return needed;
+  Ranges whole = progress->second.value.done;
+  Ranges others = whole;
+  others.remove(not_returned);
+  whole.remove(others);
+  whole.add(needed);
+  return whole.spans().size() < needed.spans().size() ? whole : needed;
+}
+
+}  // namespace
 
 Lead::Lead(LeadParams params, std::vector<config::TeamSettings> teams,
            std::vector<config::Objective> objectives)
@@ -37,14 +58,22 @@
   return it == jobs_.end() ? std::set<PartId>{} : it->second.told_by;
 }
 
-void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now) {
+void Lead::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now,
+                  std::optional<WallMs> ready_since) {
   auto it = jobs_.find(id);
   if (it != jobs_.end()) ledger(it->second, -1);
+  if (end || !job) needs_.on_over(id);
   if (!job || !job->record.spec) {
     if (it != jobs_.end()) jobs_.erase(it);
     told_.erase(id);
     return;
   }
+  bool awaits = !job->record.spec->awaits.empty();
+  if (awaits && !end && !ready_since) {
+    if (it != jobs_.end()) jobs_.erase(it);
+    return wait_for_others(id, job->record);
+  }
+  needs_.on_released(id);
   bool fresh = it == jobs_.end();
   auto& e = jobs_[id];
   auto had_pending = e.pending.count();
@@ -69,6 +98,7 @@
     Ranges r = c.tasks;
     if (auto p = job->progress.find(c.part); p != job->progress.end())
       r.remove(store::given_back(p->second.value, c.generation));
+    const Ranges not_returned = r;
     r.remove(recorded);
     Ranges returned = r;
     if (told != told_.end())
@@ -80,7 +110,9 @@
     returned.remove(e.done);
     e.told_returned += returned.count();
     if (r.empty()) continue;
-    e.kept.emplace_back(r, c);
+    auto kept = c;
+    kept.tasks = shorter_chunk(r, not_returned, *job, c.part);
+    e.kept.emplace_back(r, std::move(kept));
     r.remove(e.done);
     if (r.empty()) continue;
     e.out += r.count();
@@ -97,7 +129,13 @@
     e.pending.remove(e.done);
     e.pending.remove(out);
   }
-  e.due_ms = due(*e.record.spec, e.record.submitted);
+  if (!awaits) {
+    e.counts_from = e.record.submitted;
+  } else if (fresh && ready_since) {
+    e.counts_from = *ready_since;
+  }
+  e.need = need_of(id, e);
+  if (static_cast<double>(pieces(e)) < static_cast<double>(e.too_long) * kShorter) e.too_long = 0;
   if (fresh || (had_pending == 0 && !e.pending.empty())) e.waiting_since = now;
   // A new job, or a replica that lost its machine, is asked about at once.
   if (!e.pending.empty() &&
@@ -106,6 +144,35 @@
   ledger(e, +1);
 }
 
+std::size_t Lead::pieces(const Entry& e) {
+  std::size_t n = 0;
+  for (const auto& [tasks, chunk] : e.kept) n += 1 + chunk.tasks.spans().size();
+  return n;
+}
+
+void Lead::on_too_long(const JobId& id) {
+  if (auto it = jobs_.find(id); it != jobs_.end())
+    it->second.too_long = std::max<std::size_t>(1, pieces(it->second));
+}
+
+void Lead::wait_for_others(const JobId& id, const store::JobRecord& record) {
+  const auto& spec = *record.spec;
+  // To be complete in time it has to start a run time earlier, and what it awaits is seen to be done and is
+  // followed by its grant a few reports later.
+  auto takes = from_seconds(spec.estimate_s) + kReportsBetweenSteps * params_.report_period;
+  needs_.on_waiting(id, spec.awaits, {spec.priority, due(record, std::nullopt)}, takes);
+  refresh_needs();
+}
+
+void Lead::refresh_needs() {
+  for (const auto& id : needs_.take_changed())
+    if (auto it = jobs_.find(id); it != jobs_.end()) it->second.need = need_of(id, it->second);
+}
+
+Need Lead::need_of(const JobId& id, const Entry& e) const {
+  return stricter({e.record.spec->priority, due(e.record, e.counts_from)}, needs_.of(id));
+}
+
 void Lead::on_outcomes(const wire::Outcomes& o) {
   auto known = terms_.find(o.part);
   bool present = known != terms_.end() && known->second == o.term;
@@ -164,13 +231,15 @@
 
 std::optional<Duration> Lead::late(const JobId& id, WallMs wall) const {
   auto it = jobs_.find(id);
-  if (it == jobs_.end() || it->second.due_ms.empty() || wall.value() <= it->second.due_ms[0])
-    return std::nullopt;
-  return std::chrono::milliseconds(wall.value() - it->second.due_ms[0]);
+  if (it == jobs_.end()) return std::nullopt;
+  const auto& due = it->second.need.due_ms;
+  if (due.empty() || wall.value() <= due[0]) return std::nullopt;
+  return std::chrono::milliseconds(wall.value() - due[0]);
 }
 
 bool Lead::busy() const {
-  return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return !j.second.end; });
+  return !needs_.empty() ||
+         std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return !j.second.end; });
 }
 
 std::vector<JobId> Lead::drained() const {
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/settings.h"
+#include "lead/pipeline.h"
 #include "lead/queue.h"
 #include "lead/split.h"
 #include "part/estimator.h"
@@ -35,7 +36,10 @@
   Lead(LeadParams params, std::vector<config::TeamSettings> teams, std::vector<config::Objective> objectives);
 
   // ---- What happens
-  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
+  // `ready_since`: of a job that awaits others, when the last of them was done; none: it waits. While it
+  // waits it's in no order, round, limit, guarantee or demand.
+  void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now,
+              std::optional<WallMs> ready_since = std::nullopt);
   // What an owner told of tasks that it was granted. Each of its jobs is then to be gone through again by
   // on_job, and those returned by on_terms as well.
   void on_outcomes(const wire::Outcomes& o);
@@ -64,6 +68,9 @@
   // The transaction of the round's grants ended; `revision` if it was applied. Without one it may still be
   // carried out later, unless what it rests on has changed: see `unsettled_`.
   void on_granted(const std::vector<Grant>& grants, std::optional<Revision> revision, Instant now);
+  // The job's grants don't fit into one value: it's asked about again once what it holds has got shorter.
+  // Otherwise it would take a place in every round from those behind it.
+  void on_too_long(const JobId& id);
   bool round_open() const { return round_.has_value(); }
 
   // ---- Outcomes
@@ -92,14 +99,16 @@
     Ranges pending;
     Ranges done;
     // The chunks less what was done or returned, and what they have to go on holding: also tasks that their
-    // owner told to be done, until it has recorded that.
+    // owner told to be done, until it has recorded that. The chunks in `kept` are as they are to be written.
     std::vector<std::pair<Ranges, store::Chunk>> live, kept;
-    std::uint32_t out = 0;             // tasks in `live`
-    std::uint32_t told_returned = 0;   // tasks returned by word only
-    std::uint32_t charged = 0;         // tasks in the ledger
-    std::set<PartId> told_by;          // the parts that have told so
-    std::vector<std::int64_t> due_ms;  // when it should be complete, the first time first
+    std::uint32_t out = 0;            // tasks in `live`
+    std::uint32_t told_returned = 0;  // tasks returned by word only
+    std::uint32_t charged = 0;        // tasks in the ledger
+    std::set<PartId> told_by;         // the parts that have told so
+    WallMs counts_from;               // its submission, or when the last job that it awaits was done
+    Need need;                        // its own, and that of the jobs that wait for it
     bool granted_once = false;
+    std::size_t too_long = 0;  // pieces in `kept` when they didn't fit into a value with more; 0: they do
     Instant waiting_since{};
     Instant asked{};    // when a round was last about it
     Instant granted{};  // when it was last granted tasks
@@ -140,12 +149,21 @@
   void ledger(const Entry& e, int sign);
   // Parts on whose owners' messages a grant to this job rests, see Grant::rests_on.
   std::set<PartId> rests_on(const Entry& e) const;
-  std::vector<std::int64_t> due(const wire::JobSpec& spec, WallMs submitted) const;
+  // The times that the objectives and the job itself set. Deadlines count from its submission, the others
+  // from `counts_from`; none: they aren't known yet.
+  std::vector<std::int64_t> due(const store::JobRecord& record, std::optional<WallMs> counts_from) const;
+  // What the value of its grants has to hold, in chunks and ranges.
+  static std::size_t pieces(const Entry& e);
+  void wait_for_others(const JobId& id, const store::JobRecord& record);
+  // Jobs that wait for these need more of them.
+  void refresh_needs();
+  Need need_of(const JobId& id, const Entry& e) const;
 
   LeadParams params_;
   std::vector<config::TeamSettings> teams_;
   std::vector<config::Objective> objectives_;
-  std::map<JobId, Entry> jobs_;
+  std::map<JobId, Entry> jobs_;  // without those that wait for others
+  PipelineNeeds needs_;
   struct Told {
     Term term;
     store::Progress progress;
--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -126,10 +126,7 @@
 Lead::Grant Lead::rewritten(const JobId& id, const Entry& e) const {
   Grant g{id, {}, e.grants_version, rests_on(e)};
   g.grants.last = e.grants.last;
-  for (const auto& [tasks, chunk] : e.kept) {
-    g.grants.chunks.push_back(chunk);
-    g.grants.chunks.back().tasks = tasks;
-  }
+  for (const auto& [tasks, chunk] : e.kept) g.grants.chunks.push_back(chunk);
   return g;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -38,9 +38,10 @@
   auto cloud = endpoint(s.cloud, "external.cloud");
   endpoint(s.peer_listen, "internal_addr");
   for (const auto& p : s.peers) endpoint(p.address, "known.peer_addr");
-  ctx_.store = std::make_shared<store::StoreClient>(io, clock, state,
-                                                    store::StoreLimits{s.state_rps, s.state_write_rps},
-                                                    1.0 / static_cast<double>(s.controllers()));
+  ctx_.store = std::make_shared<store::StoreClient>(
+      io, clock, state, store::StoreLimits{s.state_rps, s.state_write_rps, s.txn_ops, s.value_bytes()},
+      store::StoreLimits{s.next_state_rps, s.next_state_write_rps},
+      1.0 / static_cast<double>(s.controllers()));
   ctx_.mirror = std::make_shared<store::Mirror>(io, clock, ctx_.store, kSyncPeriod,
                                                 [this](const store::View::Touched& t) { on_view(t); });
   ctx_.cloud = std::make_shared<cloud::CloudClient>(io, clock, cloud,
@@ -63,14 +64,16 @@
                                                  [this] { leader_->unlead(); },
                                                  [this](PartId p) { return workers_->settled(p); },
                                              });
-  api_ = std::make_unique<api::Api>(io, clock, ctx_.settings, ctx_.store, ctx_.mirror,
-                                    api::Api::Hooks{
-                                        [this] { return ctx_.catalogue.get(); },
-                                        [this](Revision r) { peers_->broadcast(wire::Nudge{r}); },
-                                        [this](const JobId& id) { return peers_->disclose(id); },
-                                        [this](const JobId& id) { return running(id); },
-                                        [this] { return healthy(); },
-                                    });
+  api_ = std::make_unique<api::Api>(
+      io, clock, ctx_.settings, ctx_.store, ctx_.mirror,
+      api::Api::Hooks{
+          [this] { return ctx_.catalogue.get(); },
+          [this](Revision r) { peers_->broadcast(wire::Nudge{r}); },
+          [this](const JobId& id) { return peers_->disclose(id); },
+          [this](const JobId& id) { return running(id); },
+          [this] { return healthy(); },
+          [this] { return ctx_.view().all_know(store::kPipelinesSince, ctx_.parting.nodes()); },
+      });
   server_ = std::make_shared<net::HttpServer>(
       io, endpoint(s.listen, "bind"), server_limits(s),
       [](const net::Request& r) { return api::Api::is_user_path(r.path); },
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -117,9 +117,15 @@
 }
 
 bool PeersDuty::disclose(const JobId& id) {
-  const auto& end = ctx_.view().ending(id);
-  if (!disclosure_.may_disclose({end.version, id, end.value.done}, known(), ctx_.now())) return false;
-  disclosed_ = std::max(disclosed_until(), end.version);
+  auto revision = ctx_.view().ended_by(id);
+  const auto& cancelled = ctx_.view().cancelled();
+  // One transaction may have cancelled several jobs.
+  auto first = cancelled.lower_bound({revision, JobId(), 0});
+  auto last = first;
+  for (; last != cancelled.end() && last->revision == revision; ++last)
+    if (!disclosure_.may_disclose(*last, known(), ctx_.now())) return false;
+  if (first == last) return false;
+  disclosed_ = std::max(disclosed_until(), revision);
   return true;
 }
 
--- a/src/store/access.h
+++ b/src/store/access.h
@@ -41,6 +41,8 @@
  public:
   virtual ~ViewSource() = default;
   virtual const View& view() const = 0;
+  // The view holds all changes that were made before this time.
+  virtual Instant as_of() const = 0;
   // Everything was read since the process began.
   virtual bool ready() const = 0;
   // Calls back once the view holds all that was written before this call; false: could not be read.
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -16,6 +16,13 @@
 constexpr Duration kLeastAnswerTimeout = std::chrono::milliseconds(100);
 constexpr Duration kMostAnswerTimeout = std::chrono::milliseconds(400);
 
+// Refusals this close together are no accident of several nodes asking at once.
+constexpr Duration kRefusedAgain = std::chrono::seconds(10);
+constexpr Duration kFirstPatience = std::chrono::seconds(60);
+// No value is thought to be refused for its size below this.
+constexpr std::size_t kLeastValue = 512;
+constexpr Duration kMostPatience = std::chrono::seconds(600);
+
 ReadResult to_read(const net::Result& r) {
   ReadResult out;
   out.status = r.status;
@@ -40,12 +47,44 @@
 }
 }  // namespace
 
+bool LimitsInForce::on_too_many(Instant now) {
+  bool again = refused_ != Instant{} && now - refused_ < kRefusedAgain;
+  // Refused soon after the higher limits were tried anew: they are not back.
+  bool tried = try_again_ != Instant{} && !lowered_ && now - try_again_ < kRefusedAgain;
+  refused_ = now;
+  if (lowered_ || !(again || tried)) return false;
+  lowered_ = true;
+  patience_ = tried ? std::min(2 * patience_, kMostPatience) : kFirstPatience;
+  try_again_ = now + patience_;
+  return true;
+}
+
+bool LimitsInForce::on_time(Instant now) {
+  if (!lowered_ || now < try_again_) return false;
+  lowered_ = false;
+  try_again_ = now;
+  return true;
+}
+
+void SizesInForce::on_refused(const wire::Txn& t) {
+  if (t.writes.size() > 1) {
+    txn_ops_ = std::min(txn_ops_, t.writes.size() / 2);
+    return;
+  }
+  if (t.writes.empty() || !t.writes[0].value) return;
+  auto bytes = wire::dump(*t.writes[0].value).size();
+  if (bytes <= kLeastValue || bytes > value_bytes_) return;
+  value_bytes_ = std::max(kLeastValue, bytes / 2);
+  // It was this value, not the number of changes, that the larger ones were refused for.
+  txn_ops_ = most_ops_;
+}
+
 StoreClient::StoreClient(asio::io_context& io, const Clock& clock, const net::Tcp::endpoint& at,
-                         StoreLimits limits, double share)
-    : io_(io),
-      clock_(clock),
+                         StoreLimits limits, StoreLimits next, double share)
+    : clock_(clock),
       http_(std::make_shared<net::HttpClient>(io, at, kConnections)),
-      limits_(limits),
+      limits_(limits, next),
+      sizes_(std::min(limits.txn_ops, next.txn_ops), std::min(limits.value_bytes, next.value_bytes)),
       request_share_(share),
       write_share_(share),
       requests_(limits.rps * share, 1.0, clock.now()),
@@ -56,11 +95,15 @@
   if (requests == request_share_ && writes == write_share_) return;
   request_share_ = requests;
   write_share_ = writes;
-  requests_.set_rate(limits_.rps * requests, clock_.now());
-  writes_.set_rate(limits_.write_rps * writes, clock_.now());
+  set_rates(clock_.now());
   pump();
 }
 
+void StoreClient::set_rates(Instant now) {
+  requests_.set_rate(limits_.get().rps * request_share_, now);
+  writes_.set_rate(limits_.get().write_rps * write_share_, now);
+}
+
 void StoreClient::txn(wire::Txn t, Urgency u, std::function<void(TxnResult)> done, TxnOptions options) {
   if (spdlog::should_log(spdlog::level::debug)) {
     std::map<std::string, int> kinds;
@@ -75,7 +118,10 @@
           {},
           std::move(options.on_sent),
           options.queue_wait};
-  job.done = [done = std::move(done)](net::Result r) {
+  // With a hold it may have been refused for that.
+  bool bare =
+      std::none_of(t.writes.begin(), t.writes.end(), [](const auto& w) { return w.hold.has_value(); });
+  job.done = [weak = weak_from_this(), bare, t = std::move(t), done = std::move(done)](const net::Result& r) {
     TxnResult out;
     if (!r.answered()) {
       out.outcome = r.sent ? Outcome::kUnknown : Outcome::kRefused;
@@ -94,6 +140,7 @@
     } else {
       spdlog::error("state service: a transaction was answered {}: {}", r.status, r.body.substr(0, 200));
       out.outcome = Outcome::kBad;
+      if (auto me = weak.lock(); me && bare && r.status == 400) me->sizes_.on_refused(t);
     }
     done(out);
   };
@@ -102,19 +149,19 @@
 
 void StoreClient::get(std::string target, Urgency u, std::function<void(ReadResult)> done) {
   Job job{"GET", std::move(target), "", 0, {}, {}};
-  job.done = [done = std::move(done)](net::Result r) { done(to_read(r)); };
+  job.done = [done = std::move(done)](const net::Result& r) { done(to_read(r)); };
   enqueue(std::move(job), u);
 }
 
 void StoreClient::hold(std::uint32_t ttl_ms, std::function<void(ReadResult)> done) {
   Job job{"POST", "/holds", wire::render_hold(ttl_ms), 0, {}, {}};
-  job.done = [done = std::move(done)](net::Result r) { done(to_read(r)); };
+  job.done = [done = std::move(done)](const net::Result& r) { done(to_read(r)); };
   enqueue(std::move(job), Urgency::kRole);
 }
 
 void StoreClient::renew(HoldId id, std::function<void(ReadResult)> done) {
   Job job{"POST", wire::hold_target(id) + "/renew", "{}", 0, {}, {}};
-  job.done = [done = std::move(done)](net::Result r) { done(to_read(r)); };
+  job.done = [done = std::move(done)](const net::Result& r) { done(to_read(r)); };
   enqueue(std::move(job), Urgency::kRole);
 }
 
@@ -130,7 +177,7 @@
   double queued = 0;
   for (const auto& q : changes_)
     for (const auto& j : q) queued += j.writes;
-  double spare = writes_.level(clock_.now()) - queued - limits_.write_rps * write_share_ / 2;
+  double spare = writes_.level(clock_.now()) - queued - limits_.get().write_rps * write_share_ / 2;
   return spare <= 0 ? 0 : static_cast<std::size_t>(spare);
 }
 
@@ -138,7 +185,7 @@
   double queued = 0;
   for (std::size_t i = 0; i <= static_cast<std::size_t>(u); ++i)
     for (const auto& j : changes_[i]) queued += j.writes;
-  return from_seconds(queued / std::max(0.1, limits_.write_rps * write_share_));
+  return from_seconds(queued / std::max(0.1, limits_.get().write_rps * write_share_));
 }
 
 // Reads don't wait behind changes that wait for the budget of changes: submissions that are refused during an
@@ -195,7 +242,7 @@
   if (job.on_sent) job.on_sent();
   bool read = job.writes == 0;
   http_->request(
-      std::move(job.method), std::move(job.target), std::move(job.body), kTimeout,
+      job.method, job.target, job.body, kTimeout,
       [weak = weak_from_this(), read, sent = clock_.now(), done = std::move(job.done)](net::Result r) {
         if (auto me = weak.lock()) me->judge(r, read, sent);
         done(std::move(r));
@@ -213,11 +260,16 @@
   answered_ = now;
   set_available(true);
   if (r.status == 429) {
+    if (limits_.on_too_many(now)) {
+      spdlog::info("state service: its lower limits seem to be in force");
+      set_rates(now);
+    }
     requests_.drain(now);
     writes_.drain(now);
     spdlog::info("state service: too many requests; this node pauses its own");
     return;
   }
+  if (limits_.on_time(now)) set_rates(now);
   double delay = to_seconds(now - sent);
   if (!delay_s_) {
     delay_s_ = delay;
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -26,12 +26,49 @@
 struct StoreLimits {
   double rps = 0;
   double write_rps = 0;
+  std::size_t txn_ops = SIZE_MAX;
+  std::size_t value_bytes = SIZE_MAX;
+};
+
+// Which of two limits is in force: the service lowers its own at some moment, without notice. Refusals for
+// their number (429) show it; from time to time the higher one is tried again, ever more rarely.
+class LimitsInForce {
+ public:
+  LimitsInForce(StoreLimits now, StoreLimits next) : now_(now), next_(next) {}
+  const StoreLimits& get() const { return lowered_ ? next_ : now_; }
+  // Each returns whether the limits in force have changed.
+  bool on_too_many(Instant now);
+  bool on_time(Instant now);
+
+ private:
+  StoreLimits now_, next_;
+  bool lowered_ = false;
+  Instant refused_{};  // when a request was refused last
+  Instant try_again_{};
+  Duration patience_{};
+};
+
+// The sizes that the service takes: those of the settings, less once it has refused a transaction for its
+// size.
+class SizesInForce {
+ public:
+  SizesInForce(std::size_t txn_ops, std::size_t value_bytes)
+      : most_ops_(txn_ops), txn_ops_(txn_ops), value_bytes_(value_bytes) {}
+  std::size_t txn_ops() const { return txn_ops_; }
+  std::size_t value_bytes() const { return value_bytes_; }
+  // A transaction was answered 400: the next ones are half as large. One with a single change can only be too
+  // large by its value.
+  void on_refused(const wire::Txn& t);
+
+ private:
+  std::size_t most_ops_, txn_ops_, value_bytes_;
 };
 
 class StoreClient : public TxnSink, public std::enable_shared_from_this<StoreClient> {
  public:
+  // `next`: the limits that may come into force later.
   StoreClient(asio::io_context& io, const Clock& clock, const net::Tcp::endpoint& at, StoreLimits limits,
-              double share);
+              StoreLimits next, double share);
 
   struct TxnOptions {
     Duration queue_wait = kQueueWait;  // what can't be sent within this time is refused
@@ -49,9 +86,11 @@
   void set_shares(double requests, double writes);
   // The least time between two requests of a kind that may take half of this node's share of the service's
   // limit.
-  Duration fair_gap() const { return from_seconds(2 / std::max(1.0, limits_.rps * request_share_)); }
+  Duration fair_gap() const { return from_seconds(2 / std::max(1.0, limits_.get().rps * request_share_)); }
   // How many changes could be made now with half of a second's worth left for what is more urgent.
   std::size_t spare_writes() const;
+  // What a transaction and a value may hold now.
+  const SizesInForce& sizes() const { return sizes_; }
   Duration write_wait(Urgency u) const override;
   // False while this node is refused or gets no answers to its reads, up to the next answer. Transactions
   // without an answer don't count: the service may be well and only their answers lost.
@@ -78,11 +117,12 @@
   void send(Job job);
   void judge(const net::Result& r, bool read, Instant sent);
   void set_available(bool available);
+  void set_rates(Instant now);
 
-  asio::io_context& io_;
   const Clock& clock_;
   std::shared_ptr<net::HttpClient> http_;
-  StoreLimits limits_;
+  LimitsInForce limits_;
+  SizesInForce sizes_;
   double request_share_, write_share_;
   Budget requests_, writes_;
   std::array<Queue, kUrgencies> reads_, changes_;
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -28,7 +28,7 @@
   // The view holds all changes up to this one, and more while the content is loaded anew.
   Revision revision() const { return revision_; }
   // The view holds all changes that were made before this time.
-  Instant as_of() const { return as_of_; }
+  Instant as_of() const override { return as_of_; }
 
   // Calls while a read is under way share the next one.
   void sync(std::function<void(bool)> done) override;
--- a/tests/controller_meetings_node_test.cpp
+++ b/tests/controller_meetings_node_test.cpp
@@ -211,7 +211,8 @@
 struct Viewer : Loop {
   Viewer() {
     store = std::make_shared<store::StoreClient>(io, clock, state.doors[0]->local(),
-                                                 store::StoreLimits{1000, 500}, 1.0);
+                                                 store::StoreLimits{1000, 500}, store::StoreLimits{1000, 500},
+                                                 1.0);
     mirror = std::make_shared<store::Mirror>(io, clock, store, std::chrono::milliseconds(100),
                                              [](const store::View::Touched&) {});
     mirror->start();
--- a/tests/sim/controller.cpp
+++ b/tests/sim/controller.cpp
@@ -26,6 +26,7 @@
           [this](const JobId& id) { return disclose(id); },
           [this](const JobId& id) { return running(id); },
           [] { return true; },
+          [] { return true; },
       });
   every(kTick, &Controller::tick);
   every(kHoldRenewal, &Controller::renew_hold);
--- a/tests/sim/controller_parts.cpp
+++ b/tests/sim/controller_parts.cpp
@@ -98,7 +98,7 @@
   auto& o = p_.parts.at(id);
   auto term = o.part->term();
   read_registry(id, o);
-  o.part->tick(instant(), cancellations_known_until(), p_.mirror->word());
+  o.part->tick(instant(), cancellations_known_until(), p_.mirror->as_of());
   for (auto& b : o.part->take_batches(instant())) command(id, term, b);
   tell_leader(id, o);
   write_registry(id, o);
--- a/tests/sim/controller_peers.cpp
+++ b/tests/sim/controller_peers.cpp
@@ -50,7 +50,7 @@
 
 Instant Controller::cancellations_known_until() const {
   auto by_peers = p_.heartbeats->disclosure().known_until(p_.mirror->ready(), instant());
-  return std::max(p_.mirror->word(), by_peers);
+  return std::max(p_.mirror->as_of(), by_peers);
 }
 
 void Controller::send_summaries() {
--- a/tests/sim/mirror.h
+++ b/tests/sim/mirror.h
@@ -24,7 +24,7 @@
   void apply_cancelled(const std::vector<wire::CancelledJob>& jobs);
   bool reading() const { return reading_; }
   // The view holds all changes that were made before this time.
-  Instant word() const { return EventQueue::instant(word_); }
+  Instant as_of() const override { return EventQueue::instant(word_); }
   double word_s() const { return word_; }
   Revision revision() const;
 
@@ -54,6 +54,7 @@
   const store::View& view() const override { return mirror_->view(); }
   bool ready() const override { return mirror_->ready(); }
   void sync(std::function<void(bool)> done) override;
+  Instant as_of() const override { return mirror_->as_of(); }
   bool answers() const override { return mirror_->answers(); }
   void commit(wire::Txn t, store::Urgency u, std::function<void(store::TxnResult)> done,
               Duration queue_wait) override {
--- a/tests/store_world.h
+++ b/tests/store_world.h
@@ -12,7 +12,7 @@
 struct StoreWorld {
   explicit StoreWorld(store::StoreLimits limits = {1000, 500}) : state(io) {
     spdlog::set_level(spdlog::level::err);
-    client = std::make_shared<store::StoreClient>(io, clock, state.doors[0]->local(), limits, 1);
+    client = std::make_shared<store::StoreClient>(io, clock, state.doors[0]->local(), limits, limits, 1);
     mirror = std::make_shared<store::Mirror>(io, clock, client, std::chrono::milliseconds(400),
                                              [](const store::View::Touched&) {});
     mirror->start();
