--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -46,7 +46,7 @@
   reply = deadline_.guard(std::move(reply));
   if (r.path == kJobs) {
     if (r.method != "POST") return reply({405, "{}"});
-    return submit(r, std::move(reply));
+    return submit(r, reply);
   }
   if (!r.path.starts_with(std::string(kJobs) + '/')) return reply({404, "{}"});
   std::string_view rest = std::string_view(r.path).substr(kJobs.size() + 1);
@@ -57,10 +57,10 @@
   JobId id{std::string(rest)};
   if (to_cancel) {
     if (r.method != "POST") return reply({405, "{}"});
-    return cancel(id, std::move(reply));
+    return cancel(id, reply);
   }
   if (r.method != "GET") return reply({405, "{}"});
-  status(id, std::move(reply));
+  status(id, reply);
 }
 
 std::optional<wire::JobState> Api::state(const JobId& id) const {
@@ -102,7 +102,7 @@
   mirror_->sync(std::move(done));
 }
 
-void Api::submit(const net::Request& r, net::HttpServer::Reply reply) {
+void Api::submit(const net::Request& r, const net::HttpServer::Reply& reply) {
   wire::JobSpec spec;
   try {
     spec = wire::parse_job(wire::parse_object(r.body));
@@ -126,7 +126,7 @@
       reply(later(verdict.reason, 5));
     });
   }
-  if (!first_unknown(spec)) return accept(std::move(spec), std::move(reply));
+  if (!first_unknown(spec)) return accept(std::move(spec), reply);
   // Another node may just have accepted what it awaits: only what was read can tell.
   read_now([this, id, spec, reply](bool fresh) {
     if (!fresh) return reply(later(kUnreachable));
@@ -162,7 +162,7 @@
   read_now(answer);
 }
 
-void Api::accept(wire::JobSpec spec, net::HttpServer::Reply reply) {
+void Api::accept(wire::JobSpec spec, const net::HttpServer::Reply& reply) {
   if (!mirror_->answers()) return reply(later(kUnreachable));
   if (!spec.awaits.empty() && !hooks_.pipelines())
     return reply(later("not all controllers know of jobs that await others", 2));
@@ -194,7 +194,7 @@
   mirror_->commit(t, store::Urgency::kUser, on_result, kSendWithin);
 }
 
-void Api::status(const JobId& id, net::HttpServer::Reply reply) {
+void Api::status(const JobId& id, const net::HttpServer::Reply& reply) {
   auto answer = [this, id, reply](bool fresh) {
     if (!fresh) return reply(later(kUnreachable));
     if (auto s = state(id)) return reply(known(id, *s));
@@ -206,11 +206,11 @@
   read_now(answer);
 }
 
-void Api::cancel(const JobId& id, net::HttpServer::Reply reply) {
+void Api::cancel(const JobId& id, const net::HttpServer::Reply& reply) {
   if (!mirror_->ready()) return reply(later("starting"));
   if (auto s = state(id)) {
     if (mirror_->view().end(id)) return reply(known(id, *s));
-    return do_cancel(id, std::move(reply));
+    return do_cancel(id, reply);
   }
   read_now([this, id, reply](bool fresh) {
     if (!fresh) return reply(later(kUnreachable));
@@ -221,7 +221,7 @@
   });
 }
 
-void Api::do_cancel(const JobId& id, net::HttpServer::Reply reply) {
+void Api::do_cancel(const JobId& id, const net::HttpServer::Reply& reply) {
   if (!mirror_->answers()) return reply(later(kUnreachable));
   if (overloaded()) return reply(later("too many requests", 2));
   const auto* job = mirror_->view().job(id);
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -34,17 +34,17 @@
   void handle(const net::Request& r, net::HttpServer::Reply reply);
 
  private:
-  void submit(const net::Request& r, net::HttpServer::Reply reply);
+  void submit(const net::Request& r, const net::HttpServer::Reply& reply);
   // Writes the job's record; the job was found fit to run.
-  void accept(wire::JobSpec spec, net::HttpServer::Reply reply);
+  void accept(wire::JobSpec spec, const net::HttpServer::Reply& reply);
   // Answers for a job that has just been accepted.
   void reply_accepted(const JobId& id, const net::HttpServer::Reply& reply);
   void reply_known(const JobId& id, bool fresh, const net::HttpServer::Reply& reply) const;
   // The first job that it awaits and that isn't in the view.
   const JobId* first_unknown(const wire::JobSpec& spec) const;
-  void status(const JobId& id, net::HttpServer::Reply reply);
-  void cancel(const JobId& id, net::HttpServer::Reply reply);
-  void do_cancel(const JobId& id, net::HttpServer::Reply reply);
+  void status(const JobId& id, const net::HttpServer::Reply& reply);
+  void cancel(const JobId& id, const net::HttpServer::Reply& reply);
+  void do_cancel(const JobId& id, const net::HttpServer::Reply& reply);
   // The job's state as the view has it; none if it isn't known.
   std::optional<wire::JobState> state(const JobId& id) const;
   // What users are told of a job in this state. All answers that name a state come from these two.
--- a/src/api/reply_deadline.cpp
+++ b/src/api/reply_deadline.cpp
@@ -5,6 +5,7 @@
 ReplyDeadline::ReplyDeadline(asio::io_context& io, Duration limit, net::Response late)
     : state_(std::make_shared<State>(io, limit, std::move(late))) {}
 
+// NOLINTNEXTLINE(bugprone-exception-escape): a timer that is set can always be cancelled.
 ReplyDeadline::~ReplyDeadline() {
   state_->open.clear();
   state_->timer.cancel();
--- a/src/api/reply_deadline.h
+++ b/src/api/reply_deadline.h
@@ -15,7 +15,7 @@
 class ReplyDeadline {
  public:
   ReplyDeadline(asio::io_context& io, Duration limit, net::Response late);
-  ~ReplyDeadline();
+  ~ReplyDeadline();  // NOLINT(bugprone-exception-escape): see its definition
   ReplyDeadline(const ReplyDeadline&) = delete;
   ReplyDeadline& operator=(const ReplyDeadline&) = delete;
 
--- a/src/config/policy.cpp
+++ b/src/config/policy.cpp
@@ -22,7 +22,7 @@
 };
 
 // Whatever the aims say, the largest jobs have to begin within four minutes.
-constexpr double kLongestAimOfAll_s = 240;
+constexpr double kLongestAimOfAllSeconds = 240;
 
 // The longest time that an aim leaves a job to start or to complete in: what waits beyond that has missed all
 // its aims. Deadlines don't count here, since they are each job's own.
@@ -30,7 +30,7 @@
   double longest = 0;
   for (const auto& o : s.objectives)
     if (o.kind == "wait" || o.kind == "finished") longest = std::max(longest, o.within_s);
-  return longest > 0 ? std::min(longest, kLongestAimOfAll_s) : kLongestAimOfAll_s;
+  return longest > 0 ? std::min(longest, kLongestAimOfAllSeconds) : kLongestAimOfAllSeconds;
 }
 
 const std::vector<KnobSpec>& specs() {
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -13,6 +13,7 @@
 
 std::vector<NodeName> names(const std::vector<config::PeerSettings>& peers) {
   std::vector<NodeName> out;
+  out.reserve(peers.size());
   for (const auto& p : peers) out.push_back(p.node);
   return out;
 }
