--- a/tests/api_test.cpp
+++ b/tests/api_test.cpp
@@ -59,6 +59,8 @@
 
 // The users' endpoints before a stand-in of the state service.
 struct ApiWorld : StoreWorld {
+  // Questions that still wait are answered while the endpoints are there, as node::Node does when it stops.
+  ~ApiWorld() { mirror->stop(); }
   ApiWorld() {
     settings.teams = {{Team("blue"), 0, 0, 0, 0}};
     catalogue[MachineType("t4")] = {MachineType("t4"), {4, 0, 16}, 10, 0.1, 1, 0.5, 20, {Zone("a")}};
--- a/tests/controller_meetings_node_test.cpp
+++ b/tests/controller_meetings_node_test.cpp
@@ -281,6 +281,8 @@
 
 // Users at the moment at which the answer to a submission or a cancellation is on its way.
 struct Users : Viewer {
+  // Questions that still wait are answered while the endpoints are there, as node::Node does when it stops.
+  ~Users() { mirror->stop(); }
   Users()
       : config(settings(state, cloud)),
         api(io, clock, config, store, mirror,
