Registry of any number of keys, pages between controllers, work by what waits

Transactions are now made up within the sizes (TxnDraft). The registry of a part takes any number of keys once all controllers know version 2; the part's role is fenced against versions that don't read them. Summaries and outcomes go in pages. The leader keeps sets of what waits and what has ended instead of going through all jobs.

--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -63,6 +63,7 @@
   auto it = jobs_.find(id);
   if (it != jobs_.end()) ledger(it->second, -1);
   if (end || !job) needs_.on_over(id);
+  unindex(id);
   if (!job || !job->record.spec) {
     if (it != jobs_.end()) jobs_.erase(it);
     told_.erase(id);
@@ -142,6 +143,23 @@
       (!e.granted_once || (e.record.spec->kind == JobKind::kService && e.pending.count() > had_pending)))
     urgent_ = true;
   ledger(e, +1);
+  index(id, e);
+}
+
+void Lead::index(const JobId& id, const Entry& e) {
+  if (e.end) {
+    if (e.live.empty()) drained_.insert(id);
+    return;
+  }
+  open_.insert(id);
+  if (!e.pending.empty()) waiting_.insert(id);
+  if (e.record.spec->kind == JobKind::kService) return;
+  arrays_.insert(id);
+  if (e.done.count() == e.record.spec->tasks) finished_.insert(id);
+}
+
+void Lead::unindex(const JobId& id) {
+  for (auto* jobs : {&waiting_, &arrays_, &open_, &finished_, &drained_}) jobs->erase(id);
 }
 
 std::size_t Lead::pieces(const Entry& e) {
@@ -221,14 +239,6 @@
   std::erase_if(sent_[a.part], [&](const Sent& s) { return s.revision <= a.seen; });
 }
 
-std::vector<JobId> Lead::finished() const {
-  std::vector<JobId> out;
-  for (const auto& [id, e] : jobs_)
-    if (!e.end && e.record.spec->kind != JobKind::kService && e.done.count() == e.record.spec->tasks)
-      out.push_back(id);
-  return out;
-}
-
 std::optional<Duration> Lead::late(const JobId& id, WallMs wall) const {
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return std::nullopt;
@@ -237,23 +247,11 @@
   return std::chrono::milliseconds(wall.value() - due[0]);
 }
 
-bool Lead::busy() const {
-  return !needs_.empty() ||
-         std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return !j.second.end; });
-}
-
-std::vector<JobId> Lead::drained() const {
-  std::vector<JobId> out;
-  for (const auto& [id, e] : jobs_)
-    if (e.end && e.live.empty()) out.push_back(id);
-  return out;
-}
-
 std::vector<Demand> Lead::demand(Instant now) const {
   std::vector<Demand> out;
   auto usage = usage_;
-  for (const auto& [id, e] : jobs_) {
-    if (e.pending.empty() || e.end) continue;
+  for (const auto& id : waiting_) {
+    const auto& e = jobs_.at(id);
     auto n = std::min(e.pending.count(), allowed_by_quota(e, usage));
     if (n == 0) continue;
     auto fresh = n - std::min(n, e.told_returned);
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -75,11 +75,11 @@
 
   // ---- Outcomes
   // Jobs all of whose tasks are done, to be recorded as such.
-  std::vector<JobId> finished() const;
+  std::vector<JobId> finished() const { return {finished_.begin(), finished_.end()}; }
   // By how much the job has missed the first of its times.
   std::optional<Duration> late(const JobId& id, WallMs wall) const;
   // Jobs that are over and none of whose tasks can be anywhere: their keys can be dropped.
-  std::vector<JobId> drained() const;
+  std::vector<JobId> drained() const { return {drained_.begin(), drained_.end()}; }
   // The parts whose owners' messages alone show that some of the job's tasks were returned. What is written
   // for that reason has to hold under their present terms only, as with Grant::rests_on.
   std::set<PartId> returned_by_message(const JobId& id) const;
@@ -88,7 +88,7 @@
   std::vector<Demand> demand(Instant now) const;
   const std::map<PartId, wire::Summary>& summaries() const { return summaries_; }
   // Whether any job isn't over.
-  bool busy() const;
+  bool busy() const { return !needs_.empty() || !open_.empty(); }
 
  private:
   struct Entry {
@@ -142,11 +142,19 @@
   // Rooms that hold all `n` tasks of a gang: of one part if one can, else of several; empty if they can't.
   static std::vector<Room> rooms_for_gang(std::uint32_t n, std::vector<Room> rooms);
   std::uint32_t allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const;
-  std::vector<QueuedJob> order(WallMs wall) const;
+  // Jobs of which some task waits and could be granted, in the order in which they are served.
+  std::vector<QueuedJob> order(WallMs wall, bool services_only) const;
+  // By when arrays have to start to keep the first of their times that they can keep; those that can keep
+  // none are left out.
+  std::map<JobId, double> plan(WallMs wall) const;
+  bool services_wait() const;
   // See QueuedJob::overdue. How far the wait of a job that has got nothing is beyond the longest, in its
   // multiples.
   double overdue(const Entry& e, WallMs wall) const;
   void ledger(const Entry& e, int sign);
+  // Keeps the sets of jobs by what is to be done about them.
+  void index(const JobId& id, const Entry& e);
+  void unindex(const JobId& id);
   // Parts on whose owners' messages a grant to this job rests, see Grant::rests_on.
   std::set<PartId> rests_on(const Entry& e) const;
   // The times that the objectives and the job itself set. Deadlines count from its submission, the others
@@ -163,6 +171,10 @@
   std::vector<config::TeamSettings> teams_;
   std::vector<config::Objective> objectives_;
   std::map<JobId, Entry> jobs_;  // without those that wait for others
+  // Of these: some task waits and the job isn't over; arrays and gangs that aren't over; those that aren't
+  // over at all; done and to be recorded as such; over, with no task anywhere. A round, a tick or a question
+  // must not go through all jobs there are.
+  std::set<JobId> waiting_, arrays_, open_, finished_, drained_;
   PipelineNeeds needs_;
   struct Told {
     Term term;
--- a/src/lead/lead_order.cpp
+++ b/src/lead/lead_order.cpp
@@ -43,12 +43,12 @@
   return static_cast<double>(wall.value() - e.counts_from.value()) / 1000 / to_seconds(params_.longest_wait);
 }
 
-std::vector<QueuedJob> Lead::order(WallMs wall) const {
+std::map<JobId, double> Lead::plan(WallMs wall) const {
   std::vector<TimedJob> timed;
   double cpus = 0, begun = 0;
-  for (const auto& [id, e] : jobs_) {
+  for (const auto& id : arrays_) {
+    const auto& e = jobs_.at(id);
     const auto& spec = *e.record.spec;
-    if (e.end || spec.kind == JobKind::kService) continue;
     cpus += spec.each.cpus * e.out;
     if (e.pending.empty()) {
       begun += spec.each.cpus * spec.estimate_s * kUnderWay * e.out;
@@ -67,9 +67,16 @@
     spdlog::debug("plan: {} jobs, {:.0f} CPU s for {:.0f} CPUs, {} of them can keep none of their times",
                   timed.size(), work, cpus, timed.size() - planned.size());
   }
+  return planned;
+}
+
+std::vector<QueuedJob> Lead::order(WallMs wall, bool services_only) const {
+  auto planned = services_only ? std::map<JobId, double>{} : plan(wall);
   std::vector<QueuedJob> waiting;
-  for (const auto& [id, e] : jobs_) {
-    if (e.pending.empty() || e.end || e.too_long > 0) continue;
+  for (const auto& id : waiting_) {
+    const auto& e = jobs_.at(id);
+    bool service = e.record.spec->kind == JobKind::kService;
+    if (e.too_long > 0 || (services_only && !service)) continue;
     auto n = std::min(e.pending.count(), allowed_by_quota(e, usage_));
     bool gang = e.record.spec->kind == JobKind::kGang;
     // A gang is granted as a whole, and anew only once nothing of its last attempt is left anywhere.
@@ -82,7 +89,7 @@
     q.wanted = e.record.spec->each * static_cast<double>(n);
     auto waits = overdue(e, wall);
     q.overdue = waits < 1 ? 0 : waits < kBeforeAll ? 1 : 2;
-    if (!e.need.due_ms.empty() && e.record.spec->kind != JobKind::kService) {
+    if (!e.need.due_ms.empty() && !service) {
       auto start = planned.find(id);
       q.due_ms = start == planned.end() ? e.need.due_ms.back() + kTooLate
                                         : wall.value() + static_cast<std::int64_t>(start->second * 1000);
@@ -92,6 +99,14 @@
   return serve_order(std::move(waiting), teams_, usage_);
 }
 
+// Whether some service could be granted a task now.
+bool Lead::services_wait() const {
+  return std::any_of(waiting_.begin(), waiting_.end(), [&](const JobId& id) {
+    const auto& e = jobs_.at(id);
+    return e.record.spec->kind == JobKind::kService && e.too_long == 0 && allowed_by_quota(e, usage_) > 0;
+  });
+}
+
 std::uint32_t Lead::allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const {
   const auto& spec = *e.record.spec;
   // What was told to be returned is in the ledger until the write that grants it anew.
--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -29,18 +29,11 @@
   // Between rounds for work that didn't fit a report period passes, unless something new came.
   if (now - last_round_ < (urgent_ ? kMinGap : params_.report_period / 2)) return std::nullopt;
   Round r;
-  auto waiting = order(wall);
   // What came just now and shouldn't wait goes by itself: a write for many arrays would hold up services. But
   // services that find no room would hold up the arrays without end, as others come.
-  auto service = [&](const QueuedJob& q) { return jobs_.at(q.id).record.spec->kind == JobKind::kService; };
-  bool services_only = urgent_ && now - last_full_round_ < params_.report_period &&
-                       std::any_of(waiting.begin(), waiting.end(), service);
-  if (services_only) {
-    std::erase_if(waiting, [&](const QueuedJob& q) { return !service(q); });
-  } else {
-    last_full_round_ = now;
-  }
-  choose(waiting, r, now, wall);
+  bool services_only = urgent_ && now - last_full_round_ < params_.report_period && services_wait();
+  if (!services_only) last_full_round_ = now;
+  choose(order(wall, services_only), r, now, wall);
   urgent_ = false;
   if (r.jobs.empty()) return std::nullopt;
   r.id = next_round_++;
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -8,7 +8,6 @@
 
 namespace beaconsill::net {
 namespace {
-constexpr std::size_t kMaxQueued = std::size_t{2} * 1024 * 1024;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
 constexpr Duration kConnectWait = std::chrono::seconds(1);
@@ -24,8 +23,13 @@
 }
 }  // namespace
 
-PeerSender::PeerSender(asio::io_context& io, Tcp::endpoint to)
-    : io_(io), to_(std::move(to)), socket_(io), timer_(io), backoff_(kFirstBackoff) {}
+PeerSender::PeerSender(asio::io_context& io, Tcp::endpoint to, std::size_t max_queued)
+    : io_(io),
+      to_(std::move(to)),
+      socket_(io),
+      timer_(io),
+      max_queued_(std::max(max_queued, kLeastQueued)),
+      backoff_(kFirstBackoff) {}
 
 void PeerSender::start() {
   connect();
@@ -84,7 +88,7 @@
 }
 
 void PeerSender::send(const std::string& message) {
-  if (!connected_ || message.size() > kMaxFrame || queued_bytes_ + message.size() > kMaxQueued) return;
+  if (!connected_ || message.size() > kMaxFrame || queued_bytes_ + message.size() > max_queued_) return;
   queued_bytes_ += message.size() + 4;
   queue_.push_back(frame(message));
   if (queue_.size() == 1) write();
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -17,12 +17,15 @@
 namespace beaconsill::net {
 
 constexpr std::size_t kMaxFrame = std::size_t{1024} * 1024;
+// What may wait for a peer at least: two frames.
+constexpr std::size_t kLeastQueued = 2 * kMaxFrame;
 
 // The sending side to one peer. Messages to a peer that can't be reached are dropped: they only make things
 // quick.
 class PeerSender : public std::enable_shared_from_this<PeerSender> {
  public:
-  PeerSender(asio::io_context& io, Tcp::endpoint to);
+  // `max_queued`: bytes that may wait to be sent; what comes beyond is dropped.
+  PeerSender(asio::io_context& io, Tcp::endpoint to, std::size_t max_queued = kLeastQueued);
   void start();
   void send(const std::string& message);
   void stop();
@@ -40,6 +43,7 @@
   Tcp::socket socket_;
   asio::steady_timer timer_;
   std::deque<std::string> queue_;
+  std::size_t max_queued_;
   std::size_t queued_bytes_ = 0;
   Duration backoff_;
   std::uint64_t epoch_ = 0;  // of the connection: callbacks of an earlier one are ignored
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -14,6 +14,13 @@
 constexpr std::size_t kMaxGrants = 8;
 constexpr double kValueShare = 0.9;  // of the limit for a value
 constexpr Duration kEndAgain = std::chrono::milliseconds(500);
+
+// The version that all controllers have shown at least.
+std::uint32_t least_of(const store::Versions& versions, const std::vector<NodeName>& nodes) {
+  auto least = store::kFormatVersion;
+  for (const auto& node : nodes) least = std::min(least, versions.at(node));
+  return least;
+}
 }  // namespace
 
 LeaderDuty::LeaderDuty(Context& ctx, PeersDuty& peers, WorkersDuty& workers)
@@ -293,19 +300,18 @@
   wire::Txn t;
   t.conditions = {*leader, {store::versions_key(), view.versions().version}};
   t.writes = {{store::versions_key(), store::to_json(versions), std::nullopt}};
-  bool all = std::all_of(versions.begin(), versions.end(),
-                         [](const auto& v) { return v.second >= store::kPipelinesSince; });
+  const auto all_read = least_of(versions, ctx_.parting.nodes());
   auto role = view.leader().value;
-  if (all && !role.fenced) {
-    role.fenced = true;
+  if (all_read > role.readable_since) {
+    role.readable_since = all_read;
     t.writes.push_back({store::leader_role_key(), store::to_json(role), std::nullopt});
   }
   writing_versions_ = true;
   // Users are refused until it is written.
-  ctx_.store->txn(t, store::Urgency::kUser, [this, t, all](store::TxnResult r) {
+  ctx_.store->txn(t, store::Urgency::kUser, [this, t, all_read](store::TxnResult r) {
     if (r.outcome == store::Outcome::kOk) {
       writing_versions_ = false;
-      if (all) spdlog::info("all controllers know version {}", store::kFormatVersion);
+      spdlog::info("all controllers know version {}", all_read);
       return ctx_.mirror->apply_own(t, r.revision);
     }
     ctx_.mirror->sync([this](bool) { writing_versions_ = false; });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -51,7 +51,7 @@
   workers_ = std::make_unique<WorkersDuty>(ctx_, *peers_, [this](wire::Outcomes o) {
     const auto& leader = ctx_.view().leader().value.node;
     if (leader == ctx_.settings.node) return leader_->on_outcomes(o);
-    peers_->send(leader, std::move(o));
+    for (auto& page : wire::paged(std::move(o))) peers_->send(leader, std::move(page));
   });
   leader_ = std::make_unique<LeaderDuty>(ctx_, *peers_, *workers_);
   roles_ = std::make_unique<RolesDuty>(ctx_, RolesDuty::Hooks{
@@ -136,10 +136,7 @@
   } else if (const auto* answer = std::get_if<wire::Answer>(&m.body)) {
     leader_->on_answer(*answer);
   } else if (const auto* summary = std::get_if<wire::Summary>(&m.body)) {
-    auto& counts = running_elsewhere_[summary->part];
-    counts.clear();
-    for (const auto& c : summary->running) counts[c.job] = c.running;
-    leader_->on_summary(*summary);
+    on_summary_page(m.from, *summary);
   } else if (const auto* release = std::get_if<wire::Release>(&m.body)) {
     workers_->on_release(release->machines);
   } else if (const auto* relay = std::get_if<wire::Relay>(&m.body)) {
@@ -153,6 +150,15 @@
   }
 }
 
+void Node::on_summary_page(const NodeName& from, const wire::Summary& page) {
+  auto summary = summaries_[from].add(page);
+  if (!summary) return;
+  auto& counts = running_elsewhere_[summary->part];
+  counts.clear();
+  for (const auto& c : summary->running) counts[c.job] = c.running;
+  leader_->on_summary(*summary);
+}
+
 std::uint32_t Node::running(const JobId& id) const {
   std::uint32_t n = workers_->running(id);
   for (const auto& [part, counts] : running_elsewhere_) {
@@ -185,7 +191,7 @@
 void Node::send_summaries() {
   for (auto& s : workers_->summaries()) {
     leader_->on_summary(s);
-    peers_->broadcast(std::move(s));
+    for (auto& page : wire::paged(std::move(s))) peers_->broadcast(std::move(page));
   }
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,6 +8,7 @@
 #include "node/peers.h"
 #include "node/roles.h"
 #include "node/workers.h"
+#include "wire/paging.h"
 
 namespace beaconsill::node {
 
@@ -28,6 +29,7 @@
   void on_peer(const wire::PeerMessage& m);
   void fetch_catalogue();
   void send_summaries();
+  void on_summary_page(const NodeName& from, const wire::Summary& page);
   void adjust_shares();
   bool healthy() const;
   std::uint32_t running(const JobId& id) const;
@@ -40,6 +42,7 @@
   std::unique_ptr<api::Api> api_;
   std::shared_ptr<net::HttpServer> server_;
   Repeater catalogue_tick_, summary_tick_, share_tick_;
+  std::map<NodeName, wire::SummaryAssembler> summaries_;
   std::map<PartId, std::map<JobId, std::uint32_t>> running_elsewhere_;
   Instant catalogue_at_{};
   bool fetching_ = false;
--- a/src/node/part_records.cpp
+++ b/src/node/part_records.cpp
@@ -1,7 +1,9 @@
 // What the owner of a part keeps in the state service, and tells the leader.
 #include "base/log.h"
 #include "node/workers.h"
+#include "store/registry.h"
 #include "store/sizes.h"
+#include "store/txn_draft.h"
 
 namespace beaconsill::node {
 namespace {
@@ -33,12 +35,7 @@
 }
 
 void WorkersDuty::load_registry(PartId id, part::Part& p) {
-  std::vector<store::MachineRecord> all;
-  for (std::uint32_t b = 0; b < store::kMachineBuckets * store::kMachinePieces; ++b) {
-    const auto& bucket = ctx_.view().machines(id, b);
-    all.insert(all.end(), bucket.value.begin(), bucket.value.end());
-  }
-  p.on_registry(all, ctx_.now());
+  p.on_registry(store::registered_machines(ctx_.view(), id), ctx_.now());
 }
 
 // What counts for the ledger is told to the leader at once; the record follows when it's of use.
@@ -55,52 +52,17 @@
   if (!jobs.empty()) tell_({id, o.part->term(), std::move(jobs)});
 }
 
-// The keys of a bucket whose values change, with their new values.
-std::map<std::uint32_t, std::vector<store::MachineRecord>> WorkersDuty::registry_writes(
-    PartId id, std::uint32_t bucket, std::vector<store::MachineRecord> machines) const {
-  const auto& view = ctx_.view();
-  std::vector<store::MachineRecord> registered;
-  for (std::uint32_t k = 0; k < store::kMachinePieces; ++k) {
-    const auto& piece = view.machines(id, bucket + k * store::kMachineBuckets).value;
-    registered.insert(registered.end(), piece.begin(), piece.end());
-  }
-  // Never fewer keys than are used already, or machines that may run tasks would fall out of the registry.
-  bool several = view.all_know(store::kPipelinesSince, ctx_.parting.nodes());
-  for (std::uint32_t k = 1; k < store::kMachinePieces; ++k)
-    several |= !view.machines(id, bucket + k * store::kMachineBuckets).value.empty();
-  auto most = std::min<std::size_t>(store::kMachinePieces, ctx_.store->sizes().txn_ops());
-  auto pieces = store::split_machines(registered, std::move(machines), ctx_.store->sizes().value_bytes(),
-                                      several ? most : 1);
-  pieces.resize(store::kMachinePieces);
-  std::map<std::uint32_t, std::vector<store::MachineRecord>> writes;
-  for (std::uint32_t k = 0; k < store::kMachinePieces; ++k) {
-    auto key = bucket + k * store::kMachineBuckets;
-    if (pieces[k] != view.machines(id, key).value) writes[key] = std::move(pieces[k]);
-  }
-  return writes;
-}
-
 void WorkersDuty::write_registry(PartId id, Owned& o) {
   if (o.registering) return;
-  auto buckets = o.part->unregistered();
-  if (buckets.empty()) return;
   const auto& role = ctx_.view().part_role(id);
-  if (!role.exists() || role.value.term != o.part->term()) return;
-  wire::Txn t;
-  t.conditions.push_back({store::part_role_key(id), role.version});
-  for (auto& [b, machines] : buckets) {
-    auto pieces = registry_writes(id, b, std::move(machines));
-    if (t.writes.size() + pieces.size() > ctx_.store->sizes().txn_ops() && !t.writes.empty()) break;
-    for (auto& [piece, value] : pieces) {
-      auto key = store::machines_key(id, piece);
-      t.conditions.push_back({key, ctx_.view().machines(id, piece).version});
-      t.writes.push_back({key, store::to_json(value), std::nullopt});
-    }
-  }
-  if (t.writes.empty()) return;
+  if (!o.read || !role.exists() || role.value.term != o.part->term()) return;
+  const auto& sizes = ctx_.store->sizes();
+  auto t = store::registry_txn(ctx_.view(), id, o.part->unregistered(), ctx_.parting.nodes(),
+                               {sizes.txn_ops(), sizes.value_bytes()});
+  if (!t) return;
   o.registering = true;
   auto term = o.part->term();
-  ctx_.mirror->commit(t, store::Urgency::kRole, [this, id, term, t](store::TxnResult r) {
+  ctx_.mirror->commit(*t, store::Urgency::kRole, [this, id, term, t = *t](store::TxnResult r) {
     if (r.outcome == store::Outcome::kOk) {
       if (auto* x = find(id, term)) x->registering = false;
       return ctx_.mirror->apply_own(t, r.revision);
@@ -126,8 +88,8 @@
   auto most =
       std::min<std::size_t>({ctx_.store->sizes().txn_ops(), 6, told ? ctx_.store->spare_writes() : SIZE_MAX});
   if (most == 0) return;
-  wire::Txn t;
-  t.conditions.push_back({store::part_role_key(id), role.version});
+  store::TxnDraft draft(most);
+  draft.require({store::part_role_key(id), role.version});
   for (auto& [job, progress] : unwritten) {
     auto since = o.unwritten.try_emplace(job, now).first->second;
     auto patience = !told ? kGather : progress.returned.empty() ? kGatherTold : kGatherReturned;
@@ -141,13 +103,12 @@
     auto json = store::to_json(value);
     // Written under a higher limit: it gets shorter as the rest ends.
     if (value == recorded.value || store::value_bytes(json) > ctx_.store->sizes().value_bytes()) continue;
-    t.conditions.push_back({key, recorded.version});
-    t.writes.push_back({key, std::move(json), std::nullopt});
-    if (t.writes.size() >= most) break;
+    if (!draft.add({{key, recorded.version}}, {{key, std::move(json), std::nullopt}})) break;
   }
-  if (t.writes.empty()) return;
+  if (draft.empty()) return;
   o.writing = true;
   auto term = o.part->term();
+  const auto& t = draft.txn();
   ctx_.mirror->commit(t, store::Urgency::kWork, [this, id, term, t](store::TxnResult r) {
     if (r.outcome == store::Outcome::kOk) {
       if (auto* x = find(id, term)) x->writing = false;
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -18,6 +18,15 @@
   return out;
 }
 
+// Of the node's memory, what may wait for all peers together if they stall: summaries grow with the machines,
+// as the memory of a controller has to.
+constexpr double kQueueShareOfMemory = 1.0 / 16;
+
+std::size_t max_queued_bytes(const config::Settings& s) {
+  auto bytes = s.memory_mb * 1024 * 1024 * kQueueShareOfMemory;
+  return static_cast<std::size_t>(bytes / static_cast<double>(std::max<std::size_t>(1, s.peers.size())));
+}
+
 part::CancellationDisclosure::Params disclosure_params(const config::Settings& s) {
   using part::CancellationDisclosure;
   return {CancellationDisclosure::promise_for(from_seconds(s.cancel_s), from_seconds(s.lease_s)), kFresh};
@@ -34,7 +43,8 @@
       sequence_(static_cast<std::uint64_t>(ctx.clock.wall().value()) << 16),
       disclosure_(disclosure_params(ctx.settings), names(ctx.settings.peers), ctx.now()) {
   for (const auto& p : ctx.settings.peers)
-    peers_[p.node].link = std::make_shared<net::PeerSender>(ctx.io, *net::parse_endpoint(p.address));
+    peers_[p.node].link = std::make_shared<net::PeerSender>(ctx.io, *net::parse_endpoint(p.address),
+                                                            max_queued_bytes(ctx.settings));
 }
 
 void PeersDuty::start() {
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -154,8 +154,8 @@
   // Only an owner that is gone, or is this very node, may be replaced.
   if (role.exists() && role.value.node != ctx_.settings.node)
     t.conditions.push_back({store::alive_key(role.value.node), Revision()});
-  t.writes = {
-      {s.key, store::to_json(store::Role{ctx_.settings.node, term, role.value.fenced}), std::nullopt}};
+  store::Role claimed{ctx_.settings.node, term, role.value.readable_since};
+  t.writes = {{s.key, store::to_json(claimed), std::nullopt}};
   ctx_.mirror->commit(t, store::Urgency::kRole, [this, &s, t, term, part](store::TxnResult r) {
     if (r.outcome == store::Outcome::kOk) {
       s.claiming = false;
@@ -178,13 +178,16 @@
 
 void RolesDuty::hand_back(RoleState& s, const store::Versioned<store::Role>& role, PartId part) {
   const auto& home = ctx_.parting.home(part);
+  // A process of an earlier version there couldn't read the role, and nobody would own the part.
+  if (ctx_.view().alive_shows(home).value_or(0) < role.value.readable_since) return;
   spdlog::info("{} goes home to {}", s.key, home.value());
   // This node goes on as the owner until it sees that the change was applied, as any owner does that is
   // replaced. If it stopped here and the state service did not answer, the leases of all the part's workers
   // would run out.
   wire::Txn t;
   t.conditions = {{s.key, role.version}};
-  t.writes = {{s.key, store::to_json(store::Role{home, Term(s.held->value() + 1)}), std::nullopt}};
+  store::Role handed{home, Term(s.held->value() + 1), role.value.readable_since};
+  t.writes = {{s.key, store::to_json(handed), std::nullopt}};
   s.claiming = true;
   ctx_.store->txn(t, store::Urgency::kRole, [this, &s, t](store::TxnResult r) {
     s.claiming = false;
--- a/src/node/worker_reports.cpp
+++ b/src/node/worker_reports.cpp
@@ -9,7 +9,6 @@
 // answer is.
 constexpr double kCancelMarginSeconds = 1;
 constexpr Duration kRelayWait = std::chrono::milliseconds(800);
-constexpr std::size_t kMaxRelayed = 256;
 }  // namespace
 
 void WorkersDuty::on_report(const net::Request& r, const net::HttpServer::Reply& reply) {
@@ -65,7 +64,7 @@
 // this node, is the owner's to say.
 void WorkersDuty::relay(PartId id, const std::string& report, const net::HttpServer::Reply& reply) {
   auto owner = owner_of(id);
-  if (!owner || !peers_.reachable(*owner) || relayed_.size() >= kMaxRelayed) return redirect(id, reply);
+  if (!owner || !peers_.reachable(*owner) || relayed_.size() >= max_relayed_) return redirect(id, reply);
   auto n = next_relay_++;
   relayed_[n] = {reply, id, ctx_.now() + kRelayWait};
   peers_.send(*owner, wire::Relay{n, report});
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -19,7 +19,8 @@
       tell_(std::move(tell)),
       tick_(ctx.io, [this] { tick(); }),
       soon_(ctx.io, [this] { pump(); }),
-      max_channels_(plan_sockets(ctx.settings).commands) {}
+      max_channels_(plan_sockets(ctx.settings).commands),
+      max_relayed_(plan_sockets(ctx.settings).served) {}
 
 void WorkersDuty::start() {
   tick_.start(kTick);
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -66,8 +66,6 @@
   void tell_leader(PartId part, Owned& o);
   void write_progress(PartId part, Owned& o);
   void write_registry(PartId part, Owned& o);
-  std::map<std::uint32_t, std::vector<store::MachineRecord>> registry_writes(
-      PartId part, std::uint32_t bucket, std::vector<store::MachineRecord> machines) const;
   void remove_machines(PartId part, Owned& o);
   void read_registry(PartId part, Owned& o);
   void load_registry(PartId part, part::Part& p);
@@ -89,6 +87,7 @@
   std::map<PartId, Owned> parts_;
   std::map<MachineName, Channel> channels_;
   std::size_t max_channels_;
+  std::size_t max_relayed_;  // each holds the connection that it came by
   Instant ticked_{};
   struct Pending {
     net::HttpServer::Reply reply;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "store/records.h"
+#include "store/txn_draft.h"
 
 namespace beaconsill::store {
 namespace {
@@ -23,6 +24,11 @@
 constexpr std::size_t kLeastValue = 512;
 constexpr Duration kMostPatience = std::chrono::seconds(600);
 
+// The service refuses a transaction for its size: 400 by the protocol, 413 for the whole body.
+bool too_large(int status) {
+  return status == 400 || status == 413;
+}
+
 ReadResult to_read(const net::Result& r) {
   ReadResult out;
   out.status = r.status;
@@ -84,7 +90,8 @@
     : clock_(clock),
       http_(std::make_shared<net::HttpClient>(io, at, kConnections)),
       limits_(limits, next),
-      sizes_(std::min(limits.txn_ops, next.txn_ops), std::min(limits.value_bytes, next.value_bytes)),
+      sizes_(std::min(limits.txn_ops, next.txn_ops),
+             std::min({limits.value_bytes, next.value_bytes, kMaxValueBytes})),
       request_share_(share),
       write_share_(share),
       requests_(limits.rps * share, 1.0, clock.now()),
@@ -140,7 +147,7 @@
     } else {
       spdlog::error("state service: a transaction was answered {}: {}", r.status, r.body.substr(0, 200));
       out.outcome = Outcome::kBad;
-      if (auto me = weak.lock(); me && bare && r.status == 400) me->sizes_.on_refused(t);
+      if (auto me = weak.lock(); me && bare && too_large(r.status)) me->sizes_.on_refused(t);
     }
     done(out);
   };
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -1,5 +1,8 @@
 #include "store/records.h"
 
+#include <algorithm>
+#include <array>
+
 namespace beaconsill::store {
 namespace {
 
@@ -59,6 +62,23 @@
   return static_cast<std::uint32_t>(stable_hash(name.value()) >> 32) % kMachineBuckets;
 }
 
+namespace {
+// Pieces of a bucket that a version reads, by its number; the last holds for all later ones.
+constexpr std::array<std::uint32_t, 3> kPiecesByVersion{1, 4, UINT32_MAX / kMachineBuckets};
+// The field that names the holder of a role, by the lowest version that is to read it.
+constexpr std::array<const char*, 3> kHolderFields{"node", "holder", "owner"};
+}  // namespace
+
+std::uint32_t readable_pieces(std::uint32_t version) {
+  return kPiecesByVersion[std::min<std::size_t>(version, kPiecesByVersion.size() - 1)];
+}
+
+std::uint32_t registry_key_since(std::uint32_t key) {
+  std::uint32_t version = 0;
+  while (key / kMachineBuckets >= readable_pieces(version)) ++version;
+  return version;
+}
+
 Json to_json(const JobRecord& r) {
   return {{"job", wire::job_to_json(*r.spec)}, {"at", r.submitted.value()}};
 }
@@ -133,13 +153,14 @@
 }
 
 Json to_json(const Role& r) {
-  return {{r.fenced ? "holder" : "node", r.node.value()}, {"term", r.term.value()}};
+  auto since = std::min<std::size_t>(r.readable_since, kHolderFields.size() - 1);
+  return {{kHolderFields[since], r.node.value()}, {"term", r.term.value()}};
 }
 
 Role parse_role(const Json& j) {
-  bool fenced = wire::find(j, "holder") != nullptr;
-  return {NodeName(wire::get_string(j, fenced ? "holder" : "node")), Term(wire::get_count(j, "term")),
-          fenced};
+  std::uint32_t since = kHolderFields.size() - 1;
+  while (since > 0 && !wire::find(j, kHolderFields[since])) --since;
+  return {NodeName(wire::get_string(j, kHolderFields[since])), Term(wire::get_count(j, "term")), since};
 }
 
 Json to_json(const Versions& versions) {
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -48,9 +48,10 @@
 struct Role {
   NodeName node;
   Term term;
-  // Written in a form that versions before pipelines can't read: since their claims are conditional on the
-  // version of what they read, they never take this role. Whoever claims it next keeps the form.
-  bool fenced = false;
+  // The lowest format version that can read the value. A lower one takes the key for missing; since its
+  // claims are conditional on the version of what it read, it never takes this role. It never falls: whoever
+  // writes the role next keeps it.
+  std::uint32_t readable_since = 0;
 };
 struct MachineRecord {
   MachineName name;
@@ -68,8 +69,10 @@
 
 // What records a controller can read and write. 0: before pipelines (`awaits`). Raised with every record or
 // field that an earlier version would misread; see docs/upgrade.md.
-constexpr std::uint32_t kFormatVersion = 1;
+constexpr std::uint32_t kFormatVersion = 2;
 constexpr std::uint32_t kPipelinesSince = 1;
+// Registries of any number of keys, and job records whose list of awaited jobs goes on in further keys.
+constexpr std::uint32_t kUnboundedKeysSince = 2;
 // The highest version that each controller has ever shown.
 using Versions = std::map<NodeName, std::uint32_t>;
 
@@ -84,13 +87,15 @@
 std::string alive_key(const NodeName& node);
 std::string versions_key();
 
-// Machines of a part are spread over this many keys, so that no value outgrows the limit: 8 KiB hold some 60,
-// and all keys of a part fit into one transaction.
+// The machines of a part are spread over buckets by their names. A bucket that outgrows one value goes on in
+// further keys: piece K of bucket B is the key B + K * kMachineBuckets, for any K that the format version
+// which all controllers know allows.
 constexpr std::uint32_t kMachineBuckets = 16;
-// Once all controllers know of pipelines, a bucket that outgrows its value goes on in further keys: bucket B
-// in B + 16, B + 32, B + 48. Earlier versions read the first 16 only.
-constexpr std::uint32_t kMachinePieces = 4;
 std::uint32_t machine_bucket(const MachineName& name);
+// How many pieces of a bucket a controller of this version reads.
+std::uint32_t readable_pieces(std::uint32_t version);
+// The lowest version that reads this key of a registry.
+std::uint32_t registry_key_since(std::uint32_t key);
 
 // Values. The parsers throw wire::WireError.
 wire::Json to_json(const JobRecord& r);
--- a/src/store/sizes.cpp
+++ b/src/store/sizes.cpp
@@ -1,7 +1,6 @@
 #include "store/sizes.h"
 
 #include <algorithm>
-#include <set>
 
 namespace beaconsill::store {
 namespace {
@@ -71,26 +70,4 @@
   return !grants.chunks.empty() && grants.chunks.back().generation > recorded;
 }
 
-std::vector<std::vector<MachineRecord>> split_machines(const std::vector<MachineRecord>& registered,
-                                                       std::vector<MachineRecord> wanted,
-                                                       std::size_t max_bytes, std::size_t max_pieces) {
-  std::set<MachineName> known;
-  for (const auto& m : registered) known.insert(m.name);
-  std::stable_partition(wanted.begin(), wanted.end(), [&](const auto& m) { return known.contains(m.name); });
-  std::vector<std::vector<MachineRecord>> pieces(1);
-  const auto empty = value_bytes(to_json(std::vector<MachineRecord>{}));
-  auto bytes = empty;
-  for (auto& m : wanted) {
-    auto more = value_bytes(to_json(std::vector{m})) - empty + 1;  // and a comma
-    if (bytes + more > max_bytes) {
-      if (pieces.size() == max_pieces) break;
-      pieces.emplace_back();
-      bytes = empty;
-    }
-    bytes += more;
-    pieces.back().push_back(std::move(m));
-  }
-  return pieces;
-}
-
 }  // namespace beaconsill::store
--- a/src/store/sizes.h
+++ b/src/store/sizes.h
@@ -21,11 +21,4 @@
 // later. False: even what is recorded doesn't fit, or a gang, which is granted as a whole, doesn't.
 bool fit_grants(Grants& grants, Generation recorded, std::size_t max_bytes);
 
-// The machines of one bucket of the registry as values of one or more keys (at most `max_pieces`), each of
-// which fits. Those `registered` come first: they must not fall out while they may run tasks. Machines that
-// find no place are left out, and get no tasks until they do.
-std::vector<std::vector<MachineRecord>> split_machines(const std::vector<MachineRecord>& registered,
-                                                       std::vector<MachineRecord> wanted,
-                                                       std::size_t max_bytes, std::size_t max_pieces);
-
 }  // namespace beaconsill::store
--- /dev/null
+++ b/src/store/txn_draft.cpp
@@ -0,0 +1,16 @@
+#include "store/txn_draft.h"
+
+namespace beaconsill::store {
+
+bool TxnDraft::add(const std::vector<wire::Condition>& conditions, const std::vector<wire::Write>& writes) {
+  const auto bytes = wire::render_txn({conditions, writes}).size();
+  if (txn_.writes.size() + writes.size() > max_changes_) return false;
+  if (txn_.conditions.size() + conditions.size() > max_changes_ * kConditionsPerChange) return false;
+  if (bytes_ + bytes > kMaxTxnBytes) return false;
+  txn_.conditions.insert(txn_.conditions.end(), conditions.begin(), conditions.end());
+  txn_.writes.insert(txn_.writes.end(), writes.begin(), writes.end());
+  bytes_ += bytes;
+  return true;
+}
+
+}  // namespace beaconsill::store
--- /dev/null
+++ b/src/store/txn_draft.h
@@ -0,0 +1,38 @@
+// A transaction that is made up step by step and keeps within what the state service takes.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "wire/store.h"
+
+namespace beaconsill::store {
+
+// Bytes of a whole transaction. The protocol allows 64 KiB; the service may write the same text a little
+// longer.
+constexpr std::size_t kMaxTxnBytes = std::size_t{60} * 1024;
+// Conditions for each change that a transaction may have (the protocol).
+constexpr std::size_t kConditionsPerChange = 4;
+// Of `kMaxTxnBytes`, what a value leaves to the keys and conditions beside it.
+constexpr std::size_t kMaxValueBytes = kMaxTxnBytes - std::size_t{4} * 1024;
+
+class TxnDraft {
+ public:
+  // `max_changes`: puts and deletes.
+  explicit TxnDraft(std::size_t max_changes) : max_changes_(max_changes) {}
+
+  // Adds changes and what they are conditional on, all of them or none: false if they don't fit any more.
+  bool add(const std::vector<wire::Condition>& conditions, const std::vector<wire::Write>& writes);
+  // Conditions that hold for the transaction as a whole.
+  bool require(const wire::Condition& condition) { return add({condition}, {}); }
+  bool empty() const { return txn_.writes.empty(); }
+  std::size_t changes() const { return txn_.writes.size(); }
+  const wire::Txn& txn() const { return txn_; }
+
+ private:
+  std::size_t max_changes_;
+  std::size_t bytes_ = 0;
+  wire::Txn txn_;
+};
+
+}  // namespace beaconsill::store
--- a/src/store/view.cpp
+++ b/src/store/view.cpp
@@ -127,18 +127,25 @@
   });
 }
 
-const Versioned<std::vector<MachineRecord>>& View::machines(PartId part, std::uint32_t bucket) const {
-  static const Versioned<std::vector<MachineRecord>> kNone;
-  auto it = machines_.find({part, bucket});
+const View::Registry& View::registry(PartId part) const {
+  static const Registry kNone;
+  auto it = machines_.find(part);
   return it == machines_.end() ? kNone : it->second;
 }
 
+const Versioned<std::vector<MachineRecord>>& View::machines(PartId part, std::uint32_t key) const {
+  static const Versioned<std::vector<MachineRecord>> kNone;
+  const auto& keys = registry(part);
+  auto it = keys.find(key);
+  return it == keys.end() ? kNone : it->second;
+}
+
 // Found by reading the code: a leader that kept jobs which were dropped while it couldn't read would grant
 // their tasks again and again, and each such transaction fails with all that it holds.
 void View::clear() {
   for (const auto& [id, job] : jobs_) touched_.jobs.insert(id);
   for (const auto& [id, end] : ends_) touched_.jobs.insert(id);
-  for (const auto& [key, machines] : machines_) touched_.machines.insert(key.first);
+  for (const auto& [part, registry] : machines_) touched_.machines.insert(part);
   touched_.roles = true;
   complete_to_ = {};
   jobs_.clear();
@@ -194,7 +201,7 @@
     } else if (kind == "machines") {
       auto [part, bucket] = split(rest);
       auto p = number(part), b = number(bucket);
-      if (p && b && update(machines_[{PartId(*p), *b}], c, parse_machines))
+      if (p && b && update(machines_[PartId(*p)][*b], c, parse_machines))
         touched_.machines.insert(PartId(*p));
     }
   } catch (const wire::WireError& e) {
--- a/src/store/view.h
+++ b/src/store/view.h
@@ -77,7 +77,11 @@
   const Versioned<Versions>& versions() const { return versions_; }
   // Whether all these nodes have shown this version, and none that is alive shows a lower one.
   bool all_know(std::uint32_t version, const std::vector<NodeName>& nodes) const;
-  const Versioned<std::vector<MachineRecord>>& machines(PartId part, std::uint32_t bucket) const;
+  // One key of a part's registry.
+  const Versioned<std::vector<MachineRecord>>& machines(PartId part, std::uint32_t key) const;
+  // All keys of a part's registry that exist.
+  using Registry = std::map<std::uint32_t, Versioned<std::vector<MachineRecord>>>;
+  const Registry& registry(PartId part) const;
 
  private:
   void apply_job(const JobId& id, const wire::Change& c);
@@ -96,7 +100,7 @@
   };
   std::map<NodeName, Alive> alive_;
   Versioned<Versions> versions_;
-  std::map<std::pair<PartId, std::uint32_t>, Versioned<std::vector<MachineRecord>>> machines_;
+  std::map<PartId, Registry> machines_;
   Revision complete_to_;
   Touched touched_;
 };
--- /dev/null
+++ b/src/wire/paging.h
@@ -0,0 +1,35 @@
+// Messages between controllers that grow with the number of machines and jobs, in pages that each fit into a
+// frame however many there are.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "wire/peer.h"
+
+namespace beaconsill::wire {
+
+// Bytes of a page, about: half of what receivers of all versions accept in one frame (1 MiB), since what an
+// entry takes is reckoned, not measured.
+constexpr std::size_t kPageBytes = std::size_t{512} * 1024;
+
+// The summary in pages, in order; a single one if all fits. Earlier versions take the last page for the
+// whole: they think that the part has less room than it has.
+std::vector<Summary> paged(Summary summary, std::size_t page_bytes = kPageBytes);
+
+// The same for outcomes; each page stands for itself.
+std::vector<Outcomes> paged(Outcomes outcomes, std::size_t page_bytes = kPageBytes);
+
+// Puts the pages of summaries together. A summary of which a page is lost is dropped: the next one follows.
+class SummaryAssembler {
+ public:
+  // The whole summary if this is its last page.
+  std::optional<Summary> add(Summary page);
+
+ private:
+  std::map<PartId, Summary> begun_;
+};
+
+}  // namespace beaconsill::wire
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -120,6 +120,10 @@
   seenRevision @2 :UInt64;
   machines @3 :List(MachineRoom);
   running @4 :List(JobCount);
+  # A summary that outgrows a frame goes in several messages, numbered from 0; `more` follow. Versions without
+  # these fields send a single one.
+  page @5 :UInt32;
+  more @6 :Bool;
 }
 
 struct MachineRoom {
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -134,6 +134,8 @@
                               e.getIdleS(),
                               e.getUsable()});
       for (auto c : r.getRunning()) s.running.push_back({JobId(text(c.getJob())), c.getRunning()});
+      s.page = r.getPage();
+      s.more = r.getMore();
       return s;
     }
     case peer::Message::RELEASE:
@@ -206,6 +208,8 @@
                    b.setPart(s.part.value());
                    b.setTerm(s.term.value());
                    b.setSeenRevision(s.seen.value());
+                   b.setPage(s.page);
+                   b.setMore(s.more);
                    auto ms = b.initMachines(s.machines.size());
                    for (std::size_t i = 0; i < s.machines.size(); ++i) {
                      const auto& x = s.machines[i];
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -96,6 +96,8 @@
   Revision seen;
   std::vector<MachineRoom> machines;
   std::vector<JobCount> running;
+  std::uint32_t page = 0;  // see wire/paging.h
+  bool more = false;
 };
 struct Release {
   std::vector<MachineName> machines;
--- /dev/null
+++ b/tests/paging_test.cpp
@@ -0,0 +1,93 @@
+// Messages between controllers that grow with the fleet.
+#include "wire/paging.h"
+
+#include <gtest/gtest.h>
+
+namespace beaconsill::wire {
+namespace {
+
+constexpr std::size_t kMaxFrame = std::size_t{1024} * 1024;  // of all versions' receivers
+
+Summary summary(std::size_t machines, std::size_t jobs) {
+  Summary s{PartId(1), Term(7), Revision(30), {}, {}};
+  for (std::size_t i = 0; i < machines; ++i)
+    s.machines.push_back({MachineName("host-" + std::to_string(1000000 + i)),
+                          MachineType("a-type-of-thirty-characters-xx"),
+                          Zone("a-zone-of-thirty-characters-xx"),
+                          true,
+                          {4, 0, 16},
+                          3.5,
+                          true});
+  for (std::size_t i = 0; i < jobs; ++i)
+    s.running.push_back({JobId("run-" + std::to_string(10000000 + i)), 3});
+  return s;
+}
+
+TEST(Paging, ASummaryOfAnySizeArrivesWhole) {
+  struct Case {
+    std::size_t machines, jobs, pages;
+  };
+  for (const auto& c : {Case{0, 0, 1}, Case{1, 1, 1}, Case{700, 4000, 1}, Case{6000, 60000, 7}}) {
+    SummaryAssembler assembler;
+    std::optional<Summary> whole;
+    auto pages = paged(summary(c.machines, c.jobs));
+    EXPECT_EQ(pages.size(), c.pages);
+    for (const auto& page : pages) {
+      EXPECT_FALSE(whole);
+      auto bytes = encode_peer({NodeName("a"), page});
+      EXPECT_LT(bytes.size(), kMaxFrame);
+      auto m = decode_peer(bytes);
+      ASSERT_TRUE(m);
+      whole = assembler.add(std::get<Summary>(m->body));
+    }
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->machines.size(), c.machines);
+    EXPECT_EQ(whole->running.size(), c.jobs);
+    EXPECT_EQ(whole->term, Term(7));
+    EXPECT_EQ(whole->seen, Revision(30));
+  }
+}
+
+TEST(Paging, ASummaryWithoutOneOfItsPagesIsDropped) {
+  auto pages = paged(summary(0, 60), 800);
+  ASSERT_GE(pages.size(), 3u);
+  SummaryAssembler assembler;
+  for (std::size_t i = 0; i < pages.size(); ++i) {
+    if (i == 1) continue;
+    EXPECT_FALSE(assembler.add(pages[i])) << i;
+  }
+  // The next one is whole again, and one begun anew replaces what was begun.
+  EXPECT_FALSE(assembler.add(pages[0]));
+  std::optional<Summary> whole;
+  for (const auto& page : pages) whole = assembler.add(page);
+  ASSERT_TRUE(whole);
+  EXPECT_EQ(whole->running.size(), 60u);
+  // Another owner's page doesn't belong to it.
+  assembler.add(pages[0]);
+  auto other = pages[1];
+  other.term = Term(8);
+  EXPECT_FALSE(assembler.add(other));
+  // Versions without pages send a single message.
+  EXPECT_TRUE(assembler.add(summary(2, 2)));
+}
+
+TEST(Paging, OutcomesOfAnySizeFitIntoFrames) {
+  Outcomes o{PartId(0), Term(2), {}};
+  Ranges scattered;
+  for (std::uint32_t i = 0; i < 300; i += 2) scattered.add(i);
+  for (std::size_t i = 0; i < 6000; ++i)
+    o.jobs.push_back({JobId("run-" + std::to_string(i)), scattered, {{Generation(2), scattered}}});
+  auto pages = paged(o);
+  EXPECT_GT(pages.size(), 1u);
+  std::size_t jobs = 0;
+  for (const auto& page : pages) {
+    EXPECT_LT(encode_peer({NodeName("a"), page}).size(), kMaxFrame);
+    EXPECT_EQ(page.term, Term(2));
+    jobs += page.jobs.size();
+  }
+  EXPECT_EQ(jobs, o.jobs.size());
+  EXPECT_EQ(paged(Outcomes{PartId(0), Term(2), {}}).size(), 1u);
+}
+
+}  // namespace
+}  // namespace beaconsill::wire
