--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -164,17 +164,46 @@
 
 void Api::accept(wire::JobSpec spec, const net::HttpServer::Reply& reply) {
   if (!mirror_->answers()) return reply(later(kUnreachable));
-  if (!spec.awaits.empty() && !hooks_.pipelines())
+  if (!spec.awaits.empty() && !hooks_.all_know(store::kPipelinesSince))
     return reply(later("not all controllers know of jobs that await others", 2));
   if (overloaded()) return reply(later("too many submissions", 2));
-  JobId id = spec.id;
   store::JobRecord record{std::make_shared<const wire::JobSpec>(std::move(spec)), clock_.wall()};
-  auto value = store::to_json(record);
-  if (store::value_bytes(value) > settings_.value_bytes())
-    return reply({422, wire::render_error("its record is larger than the state service takes")});
+  auto values = store::fit_job(std::move(record), std::min(settings_.value_bytes(), store::kMaxValueBytes));
+  if (!values) return reply({422, wire::render_error("its record is larger than the state service takes")});
+  if (!values->awaits.empty() && !hooks_.all_know(store::kUnboundedKeysSince))
+    return reply(later("not all controllers know of so many awaited jobs", 2));
+  write_job(*values, reply);
+}
+
+void Api::write_job(const store::JobValues& values, const net::HttpServer::Reply& reply) {
+  const auto& id = values.record.spec->id;
+  const auto& written = mirror_->view().awaits_keys(id);
+  store::TxnDraft draft(settings_.txn_ops);
+  draft.require({store::job_key(id), Revision()});
+  draft.require({store::end_key(id), Revision()});
+  for (std::uint32_t k = 0; k < values.awaits.size(); ++k) {
+    auto there = written.find(k);
+    if (there != written.end() && there->second.value.awaits == values.awaits[k].awaits) continue;
+    if (!draft.add({}, {{store::awaits_key(id, k), store::to_json(values.awaits[k]), std::nullopt}})) break;
+  }
+  if (draft.empty()) return write_record(values, reply);
+  // What is written by now is there when the user comes again.
+  auto on_result = [this, values, reply, t = draft.txn()](store::TxnResult result) {
+    if (result.outcome != store::Outcome::kOk) return reply(later("state not known"));
+    mirror_->apply_own(t, result.revision);
+    write_job(values, reply);
+  };
+  mirror_->commit(draft.txn(), store::Urgency::kUser, on_result, kSendWithin);
+}
+
+void Api::write_record(const store::JobValues& values, const net::HttpServer::Reply& reply) {
+  const auto& id = values.record.spec->id;
   wire::Txn t;
   t.conditions = {{store::job_key(id), Revision()}, {store::end_key(id), Revision()}};
-  t.writes = {{store::job_key(id), std::move(value), std::nullopt}};
+  // They are dropped the first one first: then the record doesn't follow any more.
+  if (!values.awaits.empty())
+    t.conditions.push_back({store::awaits_key(id, 0), mirror_->view().awaits_keys(id).at(0).version});
+  t.writes = {{store::job_key(id), store::to_json(values.record), std::nullopt}};
   auto on_result = [this, t, id, reply](store::TxnResult result) {
     switch (result.outcome) {
       case store::Outcome::kOk:
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -9,6 +9,8 @@
 #include "api/reply_deadline.h"
 #include "net/http_server.h"
 #include "store/access.h"
+#include "store/sizes.h"
+#include "store/txn_draft.h"
 
 namespace beaconsill::api {
 
@@ -23,8 +25,8 @@
     std::function<bool(const JobId&)> disclose;
     std::function<std::uint32_t(const JobId&)> running;
     std::function<bool()> healthy;
-    // Whether all controllers know of jobs that await others.
-    std::function<bool()> pipelines;
+    // Whether all controllers know records of this version.
+    std::function<bool(std::uint32_t version)> all_know;
   };
   Api(asio::io_context& io, const Clock& clock, const config::Settings& settings,
       std::shared_ptr<store::TxnSink> store, std::shared_ptr<store::ViewSource> mirror, Hooks hooks);
@@ -37,6 +39,9 @@
   void submit(const net::Request& r, const net::HttpServer::Reply& reply);
   // Writes the job's record; the job was found fit to run.
   void accept(wire::JobSpec spec, const net::HttpServer::Reply& reply);
+  // Writes the keys that aren't there yet of those with the jobs that it awaits, then its record.
+  void write_job(const store::JobValues& values, const net::HttpServer::Reply& reply);
+  void write_record(const store::JobValues& values, const net::HttpServer::Reply& reply);
   // Answers for a job that has just been accepted.
   void reply_accepted(const JobId& id, const net::HttpServer::Reply& reply);
   void reply_known(const JobId& id, bool fresh, const net::HttpServer::Reply& reply) const;
--- a/src/lead/lead_order.cpp
+++ b/src/lead/lead_order.cpp
@@ -9,8 +9,6 @@
 namespace beaconsill::lead {
 namespace {
 
-// Tasks of one job that may be out at once: bounds the values in the state service.
-constexpr std::uint32_t kWindow = 2000;
 // In multiples of the longest wait: from when on a job that got nothing goes before work of higher priority.
 constexpr double kBeforeAll = 1.3;
 // What can keep none of its times comes after all that can.
@@ -109,8 +107,9 @@
 
 std::uint32_t Lead::allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const {
   const auto& spec = *e.record.spec;
-  // What was told to be returned is in the ledger until the write that grants it anew.
-  double n = kWindow > e.charged ? kWindow - e.charged : 0;
+  // What was told to be returned is in the ledger until the write that grants it anew. How many tasks of a
+  // job may be out is bounded by the size of the value that holds its grants alone, see on_too_long.
+  double n = spec.tasks - std::min(spec.tasks, e.charged);
   for (const auto& t : teams_) {
     if (t.name != spec.team) continue;
     auto it = usage.find(t.name);
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -15,6 +15,11 @@
 
 namespace beaconsill::node {
 
+// Of the state service's limits, what the leader takes; the other controllers share the rest. It writes most,
+// but all read much the same.
+constexpr double kLeaderShareOfRequests = 0.4;
+constexpr double kLeaderShareOfChanges = 0.6;
+
 struct Context {
   Context(asio::io_context& event_loop, const Clock& node_clock, config::Settings node_settings,
           const config::Policy& node_policy)
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "store/sizes.h"
+#include "store/txn_draft.h"
 
 namespace beaconsill::node {
 namespace {
@@ -11,16 +12,13 @@
 constexpr Duration kCapacityTick = std::chrono::milliseconds(500);
 constexpr Duration kListTick = std::chrono::milliseconds(2500);
 constexpr Duration kTidyTick = std::chrono::seconds(1);
-constexpr std::size_t kMaxGrants = 8;
+// A transaction may take up so many seconds' worth of the leader's changes, lest what is urgent waits behind
+// it; but so many changes always, or each would wait for the one before.
+constexpr double kLongestTxnSeconds = 0.25;
+constexpr std::size_t kLeastChangesAtOnce = 8;
+// Of a transaction, at most: the key of a grant with its conditions, and its share of the other conditions.
+constexpr std::size_t kKeysOfGrantBytes = 400;
 constexpr double kValueShare = 0.9;  // of the limit for a value
-constexpr Duration kEndAgain = std::chrono::milliseconds(500);
-
-// The version that all controllers have shown at least.
-std::uint32_t least_of(const store::Versions& versions, const std::vector<NodeName>& nodes) {
-  auto least = store::kFormatVersion;
-  for (const auto& node : nodes) least = std::min(least, versions.at(node));
-  return least;
-}
 }  // namespace
 
 LeaderDuty::LeaderDuty(Context& ctx, PeersDuty& peers, WorkersDuty& workers)
@@ -57,7 +55,7 @@
   p.report_period = from_seconds(ctx_.settings.report_s);
   p.longest_wait = ctx_.policy.longest_wait;
   p.rules = {ctx_.policy.task_cap, ctx_.policy.reserve};
-  p.max_writes = std::min(kMaxGrants, ctx_.store->sizes().txn_ops());
+  p.max_writes = changes_at_once();
   lead_ = std::make_unique<lead::Lead>(p, ctx_.settings.teams, ctx_.settings.objectives);
   capacity_ = std::make_unique<lead::Capacity>(
       lead::CapacityParams{ctx_.policy.idle_return, ctx_.policy.quiet_return,
@@ -215,7 +213,27 @@
     return true;
   });
   // What is written over so that an earlier transaction can't come beside these has to be in the same one.
-  if (fence_dropped) grants.clear();
+  if (fence_dropped || !fit_transaction(grants)) grants.clear();
+}
+
+// Leaves out grants beyond what a transaction holds: they come with the next round. False: not even those fit
+// that are only written over.
+bool LeaderDuty::fit_transaction(std::vector<lead::Lead::Grant>& grants) const {
+  auto is_new = [&](const auto& g) {
+    const auto* job = ctx_.view().job(g.job);
+    return !job || g.grants.last > job->grants.value.last;
+  };
+  auto first_new =
+      std::stable_partition(grants.begin(), grants.end(), [&](const auto& g) { return !is_new(g); });
+  const auto fences = static_cast<std::size_t>(first_new - grants.begin());
+  std::size_t bytes = 0;
+  for (std::size_t i = 0; i < grants.size(); ++i) {
+    bytes += store::value_bytes(store::to_json(grants[i].grants)) + kKeysOfGrantBytes;
+    if (bytes <= store::kMaxTxnBytes) continue;
+    if (i < fences) return false;
+    grants.erase(grants.begin() + static_cast<std::ptrdiff_t>(i), grants.end());
+  }
+  return true;
 }
 
 wire::Txn LeaderDuty::grants_txn(const std::vector<lead::Lead::Grant>& grants,
@@ -256,135 +274,10 @@
   });
 }
 
-void LeaderDuty::write_ends() {
-  if (!still_leader() || ctx_.now() < ends_again_) return;
-  std::vector<JobId> ids;
-  for (const auto& id : lead_->finished()) {
-    if (ending_.contains(id) || ids.size() >= changes_at_once()) continue;
-    const auto* job = ctx_.view().job(id);
-    if (!job) continue;
-    ids.push_back(id);
-    if (auto late = lead_->late(id, ctx_.clock.wall()))
-      spdlog::info("{} ({}, {} tasks) is done, {:.1f} s late", id.value(), job->record.spec->job_class,
-                   job->record.spec->tasks, to_seconds(*late));
-  }
-  write_ends(ids, store::End::kDone, store::Urgency::kUser);
-}
-
-void LeaderDuty::write_cancelled() {
-  auto most = std::min(changes_at_once(), ctx_.store->spare_writes());
-  if (!still_leader() || most == 0 || ctx_.now() < ends_again_) return;
-  std::vector<JobId> ids;
-  for (const auto& id : ctx_.view().dependencies().unrecorded()) {
-    if (ids.size() >= most) break;
-    // One batch of these at a time: they only wait to be tidied.
-    if (ending_.contains(id)) return;
-    ids.push_back(id);
-  }
-  write_ends(ids, store::End::kCancelled, store::Urgency::kTidy);
-}
-
-// Until every controller has shown this version, nothing is written that an earlier one would misread. With
-// the last of them the leader's role is written so that no earlier version can take it: it would start jobs
-// that wait for others.
-void LeaderDuty::write_versions() {
-  auto leader = still_leader();
-  if (!leader || writing_versions_) return;
-  const auto& view = ctx_.view();
-  auto versions = view.versions().value;
-  for (const auto& node : ctx_.parting.nodes()) {
-    auto& shown = versions[node];
-    shown = std::max(shown, view.alive_shows(node).value_or(0));
-  }
-  if (versions == view.versions().value) return;
-  wire::Txn t;
-  t.conditions = {*leader, {store::versions_key(), view.versions().version}};
-  t.writes = {{store::versions_key(), store::to_json(versions), std::nullopt}};
-  const auto all_read = least_of(versions, ctx_.parting.nodes());
-  auto role = view.leader().value;
-  if (all_read > role.readable_since) {
-    role.readable_since = all_read;
-    t.writes.push_back({store::leader_role_key(), store::to_json(role), std::nullopt});
-  }
-  writing_versions_ = true;
-  // Users are refused until it is written.
-  ctx_.store->txn(t, store::Urgency::kUser, [this, t, all_read](store::TxnResult r) {
-    if (r.outcome == store::Outcome::kOk) {
-      writing_versions_ = false;
-      spdlog::info("all controllers know version {}", all_read);
-      return ctx_.mirror->apply_own(t, r.revision);
-    }
-    ctx_.mirror->sync([this](bool) { writing_versions_ = false; });
-  });
-}
-
 std::size_t LeaderDuty::changes_at_once() const {
-  return std::min(kMaxGrants, ctx_.store->sizes().txn_ops());
-}
-
-void LeaderDuty::write_ends(const std::vector<JobId>& ids, store::End end, store::Urgency urgency) {
-  auto leader = still_leader();
-  if (ids.empty() || !leader) return;
-  wire::Txn t;
-  t.conditions.push_back(*leader);
-  for (const auto& id : ids) {
-    store::Ending ending{end, 0, ctx_.clock.wall()};
-    if (const auto* job = ctx_.view().job(id); job && end == store::End::kDone)
-      ending.done = job->record.spec->tasks;
-    t.conditions.push_back({store::end_key(id), Revision()});
-    t.writes.push_back({store::end_key(id), store::to_json(ending), std::nullopt});
-  }
-  ending_.insert(ids.begin(), ids.end());
-  ctx_.mirror->commit(t, urgency, [this, t, ids](store::TxnResult r) {
-    auto over = [this, ids] {
-      for (const auto& id : ids) ending_.erase(id);
-    };
-    if (r.outcome == store::Outcome::kOk) {
-      ctx_.mirror->apply_own(t, r.revision);
-      peers_.broadcast(wire::Nudge{r.revision});
-      return over();
-    }
-    // During an outage, trying again at once would only use up the budget.
-    ends_again_ = ctx_.now() + kEndAgain;
-    ctx_.mirror->sync([over](bool) { over(); });
-  });
-}
-
-// Drops what is no longer needed of jobs that are over; how they ended is kept.
-void LeaderDuty::tidy() {
-  auto leader = still_leader();
-  auto spare = ctx_.store->spare_writes();
-  if (!leader || !tidying_.empty() || spare == 0) return;
-  wire::Txn t;
-  t.conditions.push_back(*leader);
-  for (const auto& id : lead_->drained()) {
-    const auto* job = ctx_.view().job(id);
-    // Without an end of its own, others that it was cancelled through are still needed to know its state.
-    if (!job || !ctx_.view().ending(id).exists()) continue;
-    // The job's record last: if not all go at once, what is left is still known to be of a job that is over.
-    std::vector<wire::Condition> keys;
-    if (job->grants.exists()) keys.push_back({store::grants_key(id), job->grants.version});
-    for (const auto& [part, p] : job->progress) keys.push_back({store::progress_key(part, id), p.version});
-    keys.push_back({store::job_key(id), job->created});
-    if (keys.size() > ctx_.store->sizes().txn_ops()) keys.resize(ctx_.store->sizes().txn_ops());
-    if (t.writes.size() + keys.size() > std::min<std::size_t>({ctx_.store->sizes().txn_ops(), 8, spare})) {
-      if (t.writes.empty()) continue;
-      break;
-    }
-    for (auto& k : keys) {
-      t.writes.push_back({k.key, std::nullopt, std::nullopt});
-      t.conditions.push_back(std::move(k));
-    }
-    tidying_.insert(id);
-  }
-  if (t.writes.empty()) return;
-  ctx_.store->txn(t, store::Urgency::kTidy, [this, t](store::TxnResult r) {
-    if (r.outcome == store::Outcome::kOk) {
-      ctx_.mirror->apply_own(t, r.revision);
-      return tidying_.clear();
-    }
-    ctx_.mirror->sync([this](bool) { tidying_.clear(); });
-  });
+  const auto rate = std::min(ctx_.settings.state_write_rps, ctx_.settings.next_state_write_rps);
+  const auto brief = static_cast<std::size_t>(rate * kLeaderShareOfChanges * kLongestTxnSeconds);
+  return std::min(ctx_.store->sizes().txn_ops(), std::max(kLeastChangesAtOnce, brief));
 }
 
 void LeaderDuty::rent() {
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -9,6 +9,7 @@
 #include "node/context.h"
 #include "node/peers.h"
 #include "node/workers.h"
+#include "store/txn_draft.h"
 
 namespace beaconsill::node {
 
@@ -43,6 +44,7 @@
   void rounds();
   void begin_round();
   void drop_oversized(std::vector<lead::Lead::Grant>& grants) const;
+  bool fit_transaction(std::vector<lead::Lead::Grant>& grants) const;
   wire::Txn grants_txn(const std::vector<lead::Lead::Grant>& grants, const wire::Condition& leader) const;
   void write_grants(const std::vector<lead::Lead::Grant>& grants, const wire::Condition& leader,
                     store::Urgency urgency);
@@ -53,6 +55,8 @@
   void write_versions();
   void write_ends(const std::vector<JobId>& ids, store::End end, store::Urgency urgency);
   void tidy();
+  bool drop_job(const JobId& id, store::TxnDraft& draft);
+  bool drop_awaits(const JobId& id, const store::View::AwaitsKeys& keys, store::TxnDraft& draft);
   void rent();
   void capacity();
   void list_machines();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -72,7 +72,7 @@
           [this](const JobId& id) { return peers_->disclose(id); },
           [this](const JobId& id) { return running(id); },
           [this] { return healthy(); },
-          [this] { return ctx_.view().all_know(store::kPipelinesSince, ctx_.parting.nodes()); },
+          [this](std::uint32_t version) { return ctx_.view().all_know(version, ctx_.parting.nodes()); },
       });
   server_ = std::make_shared<net::HttpServer>(
       io, endpoint(s.listen, "bind"), server_limits(s),
@@ -195,13 +195,12 @@
   }
 }
 
-// The limits of state service and cloud hold for all nodes together. The leader writes most, but all nodes
-// read much the same.
+// The limits of state service and cloud hold for all nodes together.
 void Node::adjust_shares() {
   auto n = static_cast<double>(ctx_.settings.controllers());
   if (n < 2) return;
   auto share = [&](double leader) { return leader_->leading() ? leader : (1 - leader) / (n - 1); };
-  ctx_.store->set_shares(share(std::max(0.4, 1 / n)), share(0.6));
+  ctx_.store->set_shares(share(std::max(kLeaderShareOfRequests, 1 / n)), share(kLeaderShareOfChanges));
   ctx_.cloud->set_rate(ctx_.settings.cloud_rps * share(0.5));
 }
 
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -23,6 +23,12 @@
   return f;
 }
 
+WallMs parse_wall(const Json& j, const char* field) {
+  const Json& f = wire::need(j, field);
+  if (!f.is_number_integer()) throw WireError(std::string(field) + " is not an integer");
+  return WallMs(f.get<std::int64_t>());
+}
+
 std::string key(std::string_view kind, std::string_view name) {
   return std::string(kPrefix) + std::string(kind) + '/' + std::string(name);
 }
@@ -35,6 +41,9 @@
 std::string end_key(const JobId& id) {
   return key("ends", id.value());
 }
+std::string awaits_key(const JobId& id, std::uint32_t piece) {
+  return key("awaits", id.value() + '/' + std::to_string(piece));
+}
 std::string grants_key(const JobId& id) {
   return key("grants", id.value());
 }
@@ -80,14 +89,25 @@
 }
 
 Json to_json(const JobRecord& r) {
-  return {{"job", wire::job_to_json(*r.spec)}, {"at", r.submitted.value()}};
+  Json j{{"job", wire::job_to_json(*r.spec)}, {"at", r.submitted.value()}};
+  if (r.awaits_keys == 0) return j;
+  j["job"].erase("awaits");
+  j["awaitsKeys"] = r.awaits_keys;
+  return j;
 }
 
 JobRecord parse_job_record(const Json& j) {
-  const Json& at = wire::need(j, "at");
-  if (!at.is_number_integer()) throw WireError("at is not an integer");
-  return {std::make_shared<const wire::JobSpec>(wire::parse_job(wire::need(j, "job"))),
-          WallMs(at.get<std::int64_t>())};
+  auto keys = wire::find(j, "awaitsKeys") ? wire::get_count(j, "awaitsKeys") : 0;
+  return {std::make_shared<const wire::JobSpec>(wire::parse_job(wire::need(j, "job"))), parse_wall(j, "at"),
+          static_cast<std::uint32_t>(keys)};
+}
+
+Json to_json(const AwaitsPiece& p) {
+  return {{"awaits", wire::job_ids_to_json(p.awaits)}, {"at", p.written.value()}};
+}
+
+AwaitsPiece parse_awaits_piece(const Json& j) {
+  return {wire::parse_job_ids(wire::need(j, "awaits")), parse_wall(j, "at")};
 }
 
 Json to_json(const Ending& e) {
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -65,6 +65,14 @@
 struct JobRecord {
   std::shared_ptr<const wire::JobSpec> spec;
   WallMs submitted;
+  // Further keys (`awaits/`) that hold the jobs which this one awaits, instead of the record itself.
+  std::uint32_t awaits_keys = 0;
+};
+// One of these keys. All of them are written before the record that names their number, and count for nothing
+// without it.
+struct AwaitsPiece {
+  std::vector<JobId> awaits;
+  WallMs written;
 };
 
 // What records a controller can read and write. 0: before pipelines (`awaits`). Raised with every record or
@@ -79,6 +87,7 @@
 // Keys.
 std::string job_key(const JobId& id);
 std::string end_key(const JobId& id);
+std::string awaits_key(const JobId& id, std::uint32_t piece);
 std::string grants_key(const JobId& id);
 std::string progress_key(PartId part, const JobId& id);
 std::string machines_key(PartId part, std::uint32_t bucket);
@@ -99,6 +108,7 @@
 
 // Values. The parsers throw wire::WireError.
 wire::Json to_json(const JobRecord& r);
+wire::Json to_json(const AwaitsPiece& p);
 wire::Json to_json(const Ending& e);
 wire::Json to_json(const Grants& g);
 wire::Json to_json(const Progress& p);
@@ -108,6 +118,7 @@
 // The value of alive/NODE: this program's version.
 wire::Json alive_value();
 JobRecord parse_job_record(const wire::Json& j);
+AwaitsPiece parse_awaits_piece(const wire::Json& j);
 Ending parse_ending(const wire::Json& j);
 Grants parse_grants(const wire::Json& j);
 Progress parse_progress(const wire::Json& j);
--- a/src/store/sizes.cpp
+++ b/src/store/sizes.cpp
@@ -70,4 +70,23 @@
   return !grants.chunks.empty() && grants.chunks.back().generation > recorded;
 }
 
+std::optional<JobValues> fit_job(JobRecord record, std::size_t max_bytes) {
+  JobValues values{std::move(record), {}};
+  if (value_bytes(to_json(values.record)) <= max_bytes) return values;
+  const auto empty = value_bytes(to_json(AwaitsPiece{{}, values.record.submitted}));
+  std::size_t bytes = max_bytes + 1;  // the first one begins a piece
+  for (const auto& awaited : values.record.spec->awaits) {
+    auto more = awaited.value().size() + 3;  // quotes and a comma
+    if (bytes + more > max_bytes) {
+      values.awaits.push_back({{}, values.record.submitted});
+      bytes = empty;
+    }
+    bytes += more;
+    values.awaits.back().awaits.push_back(awaited);
+  }
+  values.record.awaits_keys = static_cast<std::uint32_t>(values.awaits.size());
+  if (values.awaits.empty() || value_bytes(to_json(values.record)) > max_bytes) return std::nullopt;
+  return values;
+}
+
 }  // namespace beaconsill::store
--- a/src/store/sizes.h
+++ b/src/store/sizes.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "store/records.h"
@@ -21,4 +22,12 @@
 // later. False: even what is recorded doesn't fit, or a gang, which is granted as a whole, doesn't.
 bool fit_grants(Grants& grants, Generation recorded, std::size_t max_bytes);
 
+// The record of a job as values that fit. Most have it all in one; with more awaited jobs than fit these go
+// into further keys. None: it doesn't fit even so.
+struct JobValues {
+  JobRecord record;
+  std::vector<AwaitsPiece> awaits;
+};
+std::optional<JobValues> fit_job(JobRecord record, std::size_t max_bytes);
+
 }  // namespace beaconsill::store
--- a/src/store/view.cpp
+++ b/src/store/view.cpp
@@ -75,7 +75,13 @@
 
 const Job* View::job(const JobId& id) const {
   auto it = jobs_.find(id);
-  return it == jobs_.end() || !it->second.record.spec ? nullptr : &it->second;
+  return it == jobs_.end() || !it->second.whole ? nullptr : &it->second;
+}
+
+const View::AwaitsKeys& View::awaits_keys(const JobId& id) const {
+  static const AwaitsKeys kNone;
+  auto it = awaits_.find(id);
+  return it == awaits_.end() ? kNone : it->second;
 }
 
 const Versioned<Ending>& View::ending(const JobId& id) const {
@@ -149,6 +155,7 @@
   touched_.roles = true;
   complete_to_ = {};
   jobs_.clear();
+  awaits_.clear();
   ends_.clear();
   cancelled_.clear();
   dependencies_.clear();
@@ -181,6 +188,9 @@
       apply_job(JobId(std::string(rest)), c);
     } else if (kind == "progress") {
       apply_job(JobId(std::string(split(rest).second)), c);
+    } else if (kind == "awaits") {
+      auto [job, piece] = split(rest);
+      if (auto n = number(piece)) apply_awaits(JobId(std::string(job)), *n, c);
     } else if (kind == "ends") {
       apply_end(JobId(std::string(rest)), c);
     } else if (kind == "roles") {
@@ -225,18 +235,7 @@
   auto [kind, rest] = split(std::string_view(c.key).substr(kPrefix.size()));
   auto& job = jobs_[id];
   if (kind == "jobs") {
-    if (c.version > job.created) {
-      job.record = c.value ? parse_job_record(*c.value) : JobRecord{};
-      job.created = c.value ? c.version : Revision();
-      if (job.record.spec) {
-        dependencies_.on_record(id, job.record.spec->awaits, [this](const JobId& awaited) {
-          const auto& e = ending(awaited);
-          return e.exists() ? &e.value : nullptr;
-        });
-      } else {
-        dependencies_.on_record_dropped(id);
-      }
-    }
+    if (c.version > job.created) apply_record(id, job, c);
   } else if (kind == "grants") {
     update(job.grants, c, parse_grants);
   } else if (auto part = number(split(rest).first)) {
@@ -248,4 +247,46 @@
   touched_.jobs.insert(id);
 }
 
+void View::apply_record(const JobId& id, Job& job, const wire::Change& c) {
+  job.record = c.value ? parse_job_record(*c.value) : JobRecord{};
+  job.created = c.value ? c.version : Revision();
+  job.whole = false;
+  if (job.record.spec) {
+    complete(id, job);
+  } else {
+    dependencies_.on_record_dropped(id);
+  }
+}
+
+void View::apply_awaits(const JobId& id, std::uint32_t piece, const wire::Change& c) {
+  auto& keys = awaits_[id];
+  update(keys[piece], c, parse_awaits_piece);
+  if (!keys[piece].exists()) keys.erase(piece);
+  if (keys.empty()) awaits_.erase(id);
+  touched_.jobs.insert(id);
+  if (auto job = jobs_.find(id); job != jobs_.end() && job->second.record.spec) complete(id, job->second);
+}
+
+// Pages are read one after the other, so a record may come before keys that were written earlier.
+void View::complete(const JobId& id, Job& job) {
+  if (job.whole) return;
+  const auto keys = job.record.awaits_keys;
+  if (keys > 0) {
+    auto spec = *job.record.spec;
+    const auto& pieces = awaits_keys(id);
+    for (std::uint32_t k = 0; k < keys; ++k) {
+      auto piece = pieces.find(k);
+      if (piece == pieces.end()) return;
+      const auto& awaits = piece->second.value.awaits;
+      spec.awaits.insert(spec.awaits.end(), awaits.begin(), awaits.end());
+    }
+    job.record.spec = std::make_shared<const wire::JobSpec>(std::move(spec));
+  }
+  job.whole = true;
+  dependencies_.on_record(id, job.record.spec->awaits, [this](const JobId& awaited) {
+    const auto& e = ending(awaited);
+    return e.exists() ? &e.value : nullptr;
+  });
+}
+
 }  // namespace beaconsill::store
--- a/src/store/view.h
+++ b/src/store/view.h
@@ -24,6 +24,7 @@
 struct Job {
   JobRecord record;
   Revision created;
+  bool whole = false;  // all keys with the jobs that it awaits have been read
   Versioned<Grants> grants;
   std::map<PartId, Versioned<Progress>> progress;
 
@@ -58,6 +59,11 @@
 
   const std::map<JobId, Job>& jobs() const { return jobs_; }
   const Job* job(const JobId& id) const;
+  // The keys that hold jobs which this one awaits, by their number.
+  using AwaitsKeys = std::map<std::uint32_t, Versioned<AwaitsPiece>>;
+  const AwaitsKeys& awaits_keys(const JobId& id) const;
+  // All jobs that have such keys, also those whose record is gone or was never written.
+  const std::map<JobId, AwaitsKeys>& all_awaits_keys() const { return awaits_; }
   // How the job ended, by its own record or since a job that it awaits was cancelled. Final.
   std::optional<End> end(const JobId& id) const;
   // Which jobs wait for which, and what follows from that.
@@ -85,10 +91,15 @@
 
  private:
   void apply_job(const JobId& id, const wire::Change& c);
+  void apply_record(const JobId& id, Job& job, const wire::Change& c);
+  void apply_awaits(const JobId& id, std::uint32_t piece, const wire::Change& c);
+  // Puts the record together once all its keys are there.
+  void complete(const JobId& id, Job& job);
   void apply_end(const JobId& id, const wire::Change& c);
 
   std::map<JobId, Job>
       jobs_;  // also those known only by a grant or progress, until their job comes: see job()
+  std::map<JobId, AwaitsKeys> awaits_;
   std::unordered_map<JobId, Versioned<Ending>> ends_;
   std::set<wire::CancelledJob> cancelled_;  // of ends_
   Dependencies dependencies_;
--- a/src/wire/api.cpp
+++ b/src/wire/api.cpp
@@ -65,17 +65,11 @@
 }
 
 std::vector<JobId> parse_awaits(const Json& list, const JobId& job) {
-  if (!list.is_array()) throw WireError("awaits is not a list");
-  if (list.size() > kMaxAwaited) throw WireError("awaits names too many jobs");
-  std::vector<JobId> awaits;
+  auto awaits = parse_job_ids(list);
   std::set<JobId> names{job};
-  for (const Json& name : list) {
-    if (!name.is_string() || !valid_job_id(name.get_ref<const std::string&>()))
-      throw WireError("awaits holds something other than a job id");
-    JobId awaited(name.get<std::string>());
+  for (const auto& awaited : awaits) {
     if (awaited == job) throw WireError("awaits names the job itself");
     if (!names.insert(awaited).second) throw WireError("awaits names a job twice");
-    awaits.push_back(std::move(awaited));
   }
   return awaits;
 }
@@ -148,14 +142,27 @@
   }
   if (s.zone) j["harbour"] = s.zone->value();
   if (s.deadline_s) j["tideS"] = *s.deadline_s;
-  if (!s.awaits.empty()) {
-    Json list = Json::array();
-    for (const auto& awaited : s.awaits) list.push_back(awaited.value());
-    j["awaits"] = std::move(list);
-  }
+  if (!s.awaits.empty()) j["awaits"] = job_ids_to_json(s.awaits);
   return j;
 }
 
+Json job_ids_to_json(const std::vector<JobId>& ids) {
+  Json list = Json::array();
+  for (const auto& id : ids) list.push_back(id.value());
+  return list;
+}
+
+std::vector<JobId> parse_job_ids(const Json& list) {
+  if (!list.is_array()) throw WireError("awaits is not a list");
+  std::vector<JobId> ids;
+  for (const Json& name : list) {
+    if (!name.is_string() || !valid_job_id(name.get_ref<const std::string&>()))
+      throw WireError("awaits holds something other than a job id");
+    ids.emplace_back(name.get<std::string>());
+  }
+  return ids;
+}
+
 std::string render_accepted(const JobId& id, JobState state) {
   return dump(Json{{"ref", id.value()}, {"bearing", state_name(state)}});
 }
--- a/src/wire/api.h
+++ b/src/wire/api.h
@@ -33,14 +33,15 @@
 };
 
 constexpr std::uint32_t kMaxTasks = 100'000;
-// Jobs that one job may await: with names of the usual length its record fits into a value of 2 KiB.
-constexpr std::size_t kMaxAwaited = 100;
 
 // The form that every job id has.
 bool valid_job_id(std::string_view id);
 // Throws WireError.
 JobSpec parse_job(const Json& j);
 Json job_to_json(const JobSpec& spec);
+// Of ids as `awaits` holds them. Parser: WireError.
+Json job_ids_to_json(const std::vector<JobId>& ids);
+std::vector<JobId> parse_job_ids(const Json& list);
 
 enum class JobState { kQueued, kRunning, kDone, kCancelled };
 std::string render_accepted(const JobId& id, JobState state);
--- a/tests/sim/controller.cpp
+++ b/tests/sim/controller.cpp
@@ -26,7 +26,7 @@
           [this](const JobId& id) { return disclose(id); },
           [this](const JobId& id) { return running(id); },
           [] { return true; },
-          [] { return true; },
+          [](std::uint32_t) { return true; },
       });
   every(kTick, &Controller::tick);
   every(kHoldRenewal, &Controller::renew_hold);
