--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -51,6 +51,7 @@
   std::size_t chosen = 0;
   auto take = [&](std::size_t i, std::size_t most_shapes) {
     auto shape = part::shape_of(*jobs_.at(waiting[i].id).record.spec, 0);
+    shape.priority = waiting[i].priority;
     auto it = std::find(r.shapes.begin(), r.shapes.end(), shape);
     if (it == r.shapes.end()) {
       if (r.shapes.size() >= most_shapes) return;
@@ -276,11 +277,13 @@
     usage[spec.team] -= spec.each * static_cast<double>(e.told_returned);
     Ranges pending = e.pending;
     Attempt attempt(gang ? e.grants.last.value() + 1 : 0);
+    std::optional<Priority> inherited;
+    if (e.need.priority > spec.priority) inherited = e.need.priority;
     auto give = [&](const std::vector<Share>& list, bool force) {
       for (const auto& s : list) {
         g.grants.last = Generation(g.grants.last.value() + 1);
-        g.grants.chunks.push_back(
-            {g.grants.last, s.part, terms.at(s.part), pending.take(s.tasks), s.zone, force, attempt});
+        g.grants.chunks.push_back({g.grants.last, s.part, terms.at(s.part), pending.take(s.tasks), s.zone,
+                                   force, attempt, inherited});
         taken[s.part] += spec.each.cpus * s.tasks;
         usage[spec.team] += spec.each * static_cast<double>(s.tasks);
       }
--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -93,6 +93,7 @@
   Instant redirected{};  // when the worker was last pointed here, or first answered by way of another
   std::optional<Instant> taken_at;  // spot notice
   std::map<TaskKey, TaskOn> tasks;
+  bool strays = false;  // some of them may not be granted to this part, see Part::stop_strays
   ImageCache images;
 
   // Commands: at most one batch is under way, each under a token of its own.
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -56,7 +56,10 @@
 
 std::pair<TaskOn&, bool> Part::put(Machine& m, const TaskKey& key) {
   auto [it, fresh] = m.tasks.try_emplace(key);
-  if (fresh) where_[key.first].push_back(&m);
+  if (fresh) {
+    where_[key.first].push_back(&m);
+    m.strays = true;
+  }
   return {it->second, fresh};
 }
 
@@ -75,7 +78,9 @@
 
 void Part::erase_job(const JobId& id) {
   waiting_.erase(id);
+  gangs_.erase(id);
   jobs_.erase(id);
+  each_listed(id, [](Machine& m, const TaskKey&, TaskOn&) { m.strays = true; });
 }
 
 // What the task ended with is recorded, or of no use to anybody.
@@ -89,7 +94,10 @@
 
 void Part::on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now) {
   if (!job || !job->record.spec) {
-    if (auto* known = find_job(id); known && end) known->end = end;
+    if (auto* known = find_job(id); known && end) {
+      known->end = end;
+      each_listed(id, [](Machine& m, const TaskKey&, TaskOn&) { m.strays = true; });
+    }
     if (!job) erase_job(id);
     return;
   }
@@ -97,7 +105,8 @@
                           [&](const auto& c) { return c.part == id_; });
   if (!ours && !jobs_.contains(id)) return;
   auto& pj = jobs_[id];
-  pj.record = job->record;
+  set_record(pj, *job);
+  if (pj.record.spec->kind == JobKind::kGang) gangs_.insert(id);
   pj.end = end;
   auto recorded = job->progress.find(id_);
   pj.recorded = recorded == job->progress.end() ? store::Progress{} : recorded->second.value;
@@ -131,6 +140,7 @@
   std::erase_if(pj.slots, [&](const auto& s) { return !wanted.contains(s.first); });
   each_listed(id, [&](Machine& m, const TaskKey& key, TaskOn& t) {
     touch(m);  // what it ended with may be recorded now, or the job be over
+    m.strays = true;
     if (!t.spec) {
       t.spec = pj.record.spec;
       m.changed();
@@ -151,6 +161,20 @@
   if (pj.slots.empty() && pj.generations.empty()) erase_job(id);
 }
 
+// In this part the job has the priority of the jobs that need it, as the leader granted it.
+void Part::set_record(PartJob& pj, const store::Job& job) const {
+  auto priority = job.record.spec->priority;
+  for (const auto& c : job.grants.value.chunks)
+    if (c.part == id_ && c.priority) priority = std::max(priority, *c.priority);
+  pj.record.submitted = job.record.submitted;
+  if (pj.record.spec && pj.record.spec->priority == priority) return;
+  pj.record.spec = job.record.spec;
+  if (priority == job.record.spec->priority) return;
+  auto raised = *job.record.spec;
+  raised.priority = priority;
+  pj.record.spec = std::make_shared<const wire::JobSpec>(std::move(raised));
+}
+
 store::Progress Part::progress_of(const PartJob& job) const {
   store::Progress p;
   p.done = job.recorded.done;
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "part/estimator.h"
@@ -168,6 +169,7 @@
   void touch(Machine& m);
   void wait(const JobId& id) { waiting_.insert(id); }
   void erase_job(const JobId& id);
+  void set_record(PartJob& pj, const store::Job& job) const;
   // The attempt is off its machine: its task may be started anew.
   void requeue(const TaskKey& key, Instant now);
   void lose_all(Machine& m, Instant now);
@@ -235,8 +237,9 @@
   Instant began_;
   std::shared_ptr<const wire::Catalogue> catalogue_;
   std::map<MachineName, Machine> machines_;
-  std::map<JobId, PartJob> jobs_;
-  std::set<JobId> waiting_;  // jobs of which some task may be waiting
+  std::unordered_map<JobId, PartJob> jobs_;  // looked up for each task of each report
+  std::set<JobId> gangs_;                    // of these
+  std::set<JobId> waiting_;                  // jobs of which some task may be waiting
   // The machines that list a task, one entry for each attempt: what is asked about a task or a job is
   // answered without going through all machines.
   Listed where_;
--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -264,19 +264,25 @@
   }
 }
 
-// Tasks on a machine that are not granted to this part, or whose job is over.
+// Tasks on a machine that are not granted to this part, or whose job is over. Looked for where tasks have
+// come since the last time, or where what is known of them has changed, and as long as there are any.
 void Part::stop_strays(Instant now, Instant read) {
   strays_checked_ = now;
   for (auto& [name, m] : machines_) {
-    effort_ += 1 + m.tasks.size();
+    ++effort_;
+    if (!m.strays) continue;
+    effort_ += m.tasks.size();
+    m.strays = false;
     for (auto& [key, t] : m.tasks) {
       auto job = jobs_.find(key.first.job);
       bool known = job != jobs_.end();
       if (known && job->second.end) {
+        m.strays = true;
         give_up(m, t);
         continue;
       }
       if (known && job->second.slots.contains(key.first.index)) continue;
+      m.strays = true;
       // Its grant may be on its way to us: judged only by what was read after the task was seen.
       if (read < t.since + kStrayPatience) continue;
       if (live(t) && !t.stop_grace)
--- a/src/part/part_placement.cpp
+++ b/src/part/part_placement.cpp
@@ -71,8 +71,8 @@
 // A gang that lost a task here starts anew under its next attempt only: what is left of this one is stopped,
 // the others notice by themselves.
 void Part::check_gangs(Instant) {
-  for (auto& [id, job] : jobs_) {
-    if (!job.record.spec || job.record.spec->kind != JobKind::kGang) continue;
+  for (const auto& id : gangs_) {
+    auto& job = jobs_.at(id);
     bool lost = std::any_of(job.slots.begin(), job.slots.end(), [](const auto& s) {
       return s.second.status == Slot::Status::kWaiting && s.second.started;
     });
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -29,6 +29,11 @@
   return WallMs(f.get<std::int64_t>());
 }
 
+Priority parse_priority(std::uint64_t number) {
+  if (number >= kPriorities) throw WireError("a priority is out of range");
+  return static_cast<Priority>(number);
+}
+
 std::string key(std::string_view kind, std::string_view name) {
   return std::string(kPrefix) + std::string(kind) + '/' + std::string(name);
 }
@@ -133,6 +138,7 @@
     if (c.zone) e["z"] = c.zone->value();
     if (c.preempt) e["x"] = true;
     if (c.gang_attempt.value()) e["a"] = c.gang_attempt.value();
+    if (c.priority) e["q"] = static_cast<std::size_t>(*c.priority);
     chunks.push_back(std::move(e));
   }
   Json j{{"last", g.last.value()}, {"chunks", std::move(chunks)}};
@@ -153,6 +159,7 @@
     if (wire::find(e, "z")) c.zone = Zone(wire::get_string(e, "z"));
     c.preempt = wire::get_bool_or(e, "x", false);
     if (wire::find(e, "a")) c.gang_attempt = Attempt(wire::get_count(e, "a"));
+    if (wire::find(e, "q")) c.priority = parse_priority(wire::get_count(e, "q"));
     g.chunks.push_back(std::move(c));
   }
   return g;
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -32,6 +32,8 @@
   std::optional<Zone> zone;  // the only zone for these tasks (jobs that set together or scatter)
   bool preempt = false;      // room for them is to be made by stopping work of lower priority
   Attempt gang_attempt;      // gangs: the attempt number shared by all tasks
+  // That of a job which needs this one, if it's higher than its own.
+  std::optional<Priority> priority;
   bool operator==(const Chunk&) const = default;
 };
 struct Grants {
