--- a/tests/sim/books.h
+++ b/tests/sim/books.h
@@ -57,6 +57,16 @@
     auto it = machines.find(name);
     return it == machines.end() || it->second.gone ? nullptr : &it->second;
   }
+  // Calls `f(job)` for all jobs that this one needs, directly or through others.
+  template <class F>
+  void each_needed(const JobId& id, F f) const {
+    auto job = jobs.find(id);
+    if (job == jobs.end()) return;
+    for (const auto& awaited : job->second.spec->awaits) {
+      if (auto needed = jobs.find(awaited); needed != jobs.end()) f(needed->second);
+      each_needed(awaited, f);
+    }
+  }
   // Calls `f(machine, key, task)` for all tasks of the job on machines that are there.
   template <class F>
   void each_task(const JobId& id, F f) const {
--- a/tests/sim/controller.h
+++ b/tests/sim/controller.h
@@ -140,6 +140,7 @@
   void tick_lead();
   void write_grants(const std::vector<lead::Lead::Grant>& grants);
   void write_ends();
+  void write_end(const JobId& id, const store::Ending& ending);
   void tidy();
   void show_leader(const std::set<JobId>& jobs);
   void on_outcomes(const wire::Outcomes& o);
--- a/tests/sim/options.h
+++ b/tests/sim/options.h
@@ -35,12 +35,16 @@
   kNothingTooLarge,     // jobs larger than their team's limit are accepted
   kCallbackLost,        // after a read that failed nobody who asks is answered any more
   kJobPassedOver,       // the leader overlooks a job
+  kAwaitsLost,          // what a submission awaits gets lost
+  kStartsUnready,       // the leader grants jobs whose needed jobs aren't done
+  kAwaitedUnknown,      // a submission that names accepted jobs is refused for good
 };
 
 struct Options {
   std::uint64_t seed = 1;
   int machines = 14;
   int jobs = 26;           // drawn ones
+  int pipelines = 0;       // drawn ones: chains, fans and diamonds of jobs that await each other
   double troubles_s = 90;  // drawn troubles begin until then
   // By then everything must be served. The drawn troubles and users leave work beyond the teams' limits for
   // longer than 300 s in some schedules; who waits though it could run breaks `starved` long before.
--- a/tests/sim/rules.h
+++ b/tests/sim/rules.h
@@ -46,6 +46,8 @@
   };
   void check_place(const Machine& m, const TaskId& task, const Job& job);
   void check_late_cancellations();
+  void check_orphaned(const Answer& a, const std::string& text);
+  bool awaits_accepted(const Job& job, double sent_s) const;
   void check_answered(const JobId& id, const Job& job, double calm_since);
   void check_waiting(const JobId& id, const Job& job, double calm_since);
   bool could_run(const JobId& id, const Job& job) const;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -10,6 +10,7 @@
   s.zone = node_zone(0);
   for (int n = 1; n < kControllers; ++n) s.peers.push_back({node_name(n), node_zone(n), ""});
   s.zones = zones();
+  s.txn_ops = 16;
   for (const auto& team : teams())
     s.teams.push_back({team, 8, mistake == Mistake::kNothingTooLarge ? 0 : kTeamCpus, 0, 0});
   return s;
@@ -129,6 +130,8 @@
   for (int n = 0; n < kControllers; ++n) queue_.at(0.05 * n, [this, n] { controller(n).start(); });
   for (int i = 0; i < options_.jobs; ++i)
     queue_.at(1 + queue_.uniform(0, options_.troubles_s * 0.8), [this, i] { users_.submit_drawn(i); });
+  for (int i = 0; i < options_.pipelines; ++i)
+    queue_.at(1 + queue_.uniform(0, options_.troubles_s * 0.8), [this, i] { users_.submit_pipeline(i); });
   if (options_.drawn_troubles) troubles_.draw_meetings(options_.troubles_s);
   queue_.every(1, [this] {
     rules_.look(std::max(troubles_.over(), last_request_));
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -1,5 +1,6 @@
 // Seeded schedules of loss, delay, repetition, crash, hang, deafness and late delivery. `--seeds N` plays
-// more of them, `--first S` others; a seed that fails plays the same way again.
+// more of them, `--first S` others, `--pipelines N` with jobs that await others; a seed that fails plays the
+// same way again.
 #include <gtest/gtest.h>
 
 #include <CLI/CLI.hpp>
@@ -12,6 +13,7 @@
 
 int seeds = 12;
 std::uint64_t first = 1;
+int pipelines = 0;
 
 TEST(Simulation, TheRulesHoldAndEveryJobIsServed) {
   int takeovers = 0;
@@ -19,6 +21,7 @@
   for (int i = 0; i < seeds; ++i) {
     Options o;
     o.seed = first + static_cast<std::uint64_t>(i);
+    o.pipelines = pipelines;
     auto r = World(o).run();
     EXPECT_TRUE(r.broken.empty()) << "seed " << o.seed << ": " << r.first;
     EXPECT_GT(r.started, 50) << "seed " << o.seed;
@@ -105,6 +108,7 @@
   CLI::App app("Seeded schedules of troubles");
   app.add_option("--seeds", beaconsill::sim::seeds, "how many schedules")->check(CLI::PositiveNumber);
   app.add_option("--first", beaconsill::sim::first, "the first seed");
+  app.add_option("--pipelines", beaconsill::sim::pipelines, "pipelines in each schedule");
   CLI11_PARSE(app, argc, argv);
   spdlog::set_level(spdlog::level::off);
   return RUN_ALL_TESTS();
