--- a/tests/sim/rules.cpp
+++ b/tests/sim/rules.cpp
@@ -68,6 +68,7 @@
   if (it == books_.jobs.end()) return broke("invented", w.key);
   const auto& job = it->second;
   if (store::parse_ending(*w.value).end != store::End::kDone) return;
+  recorded_done_.insert(it->first);
   advance_();
   if (job.done.size() < job.spec->tasks) broke("not_done", w.key + " " + std::to_string(job.done.size()));
 }
@@ -171,7 +172,9 @@
   if (job.cancel_asked || (told != told_.end() && told->second.over)) return false;
   const auto& spec = *job.spec;
   bool ready = true;
-  books_.each_needed(id, [&](const Job& needed) { ready &= needed.done.size() == needed.spec->tasks; });
+  // That its tasks completed isn't enough: the machine may have been lost before it reported that, and the task has to
+  // be started once more (seed 50033 with pipelines).
+  books_.each_needed(id, [&](const Job& needed) { ready &= recorded_done_.contains(needed.spec->id); });
   if (!ready) return false;
   std::set<std::uint32_t> there = job.done;
   double used = 0;
--- a/tests/sim/rules.h
+++ b/tests/sim/rules.h
@@ -59,6 +59,7 @@
   std::map<JobId, Told> told_;
   std::map<JobId, Wait> waits_;
   std::map<JobId, int> started_;
+  std::set<JobId> recorded_done_;
 };
 
 }  // namespace beaconsill::sim
