--- a/tests/part_placement_test.cpp
+++ b/tests/part_placement_test.cpp
@@ -254,5 +254,27 @@
   EXPECT_TRUE(b.jobs["run-1"].outstanding().empty());
 }
 
+// A step of a pipeline has the priority of the jobs that need it: by its own it could make no room, and what
+// was started under the inherited one isn't stopped for less.
+TEST(Placement, AnInheritedPriorityCountsInThePart) {
+  for (bool inherited : {false, true}) {
+    Bench b;
+    b.add_ready_workers({"m1"});
+    b.grant("run-1", 4, 5, 0);  // normal, fills the machine
+    b.tick(0);
+    b.carry_out(0);
+    b.report("m1", 0.5);
+    b.jobs["run-2"].record = {spec("run-2", 1, Priority::kLow), WallMs(0)};
+    b.jobs["run-2"].grants.value.chunks = {{Generation(1), PartId(0), Term(5), Ranges::span(0, 1), {}, true}};
+    if (inherited) b.jobs["run-2"].grants.value.chunks[0].priority = Priority::kHigh;
+    b.jobs["run-2"].grants.value.last = Generation(1);
+    b.show("run-2", 1);
+    b.tick(1);
+    std::size_t stopped = 0;
+    for (const auto& c : b.carry_out(1)) stopped += c.op == wire::Command::Op::kStop;
+    EXPECT_EQ(stopped, inherited ? 1u : 0u);
+  }
+}
+
 }  // namespace
 }  // namespace beaconsill::part
--- a/tests/part_test.cpp
+++ b/tests/part_test.cpp
@@ -25,10 +25,14 @@
 }
 
 // Processor time grew with the square of the machines: each of some hundred events a second went through all
-// of them and all of their tasks. Bounds what is looked at for one event with 1,100 machines and 33,000
-// tasks.
-TEST(Part, WhatAnEventCostsDoesNotGrowWithAllMachinesAndTasks) {
-  constexpr int kMachines = 1100, kTasks = 30;
+// of them and all of their tasks. Bounds what is looked at for one event with up to 6,000 machines and
+// 180,000 tasks.
+class PartOfSize : public testing::TestWithParam<int> {};
+INSTANTIATE_TEST_SUITE_P(Machines, PartOfSize, testing::Values(1100, 4000, 6000));
+
+TEST_P(PartOfSize, WhatAnEventCostsDoesNotGrowWithAllMachinesAndTasks) {
+  const int kMachines = GetParam();
+  constexpr int kTasks = 30;
   Bench b;
   auto types = std::make_shared<wire::Catalogue>(*catalogue());
   types->begin()->second.total = {kTasks + 1, 0, 64};
@@ -55,6 +59,7 @@
     std::function<void()> event;
     std::uint64_t bound;
   };
+  const auto all = static_cast<std::uint64_t>(kMachines);
   const Case cases[] = {
       {"nothing",
        [&] {
@@ -82,9 +87,16 @@
          b.grant("run-5000", 500, 5, 0.04);
          b.tick(0.04);
        },
-       4 * kMachines},
-      {"a question about a shape", [&] { b.part.estimate(shape_of(*spec("run-1", 1), 1), at(0.05)); },
-       kMachines},
+       4 * all},
+      {"a question about a shape", [&] { b.part.estimate(shape_of(*spec("run-1", 1), 1), at(0.05)); }, all},
+      {"looking for strays: each machine, not all tasks",
+       [&] {
+         b.tick(1);
+         b.tick(2);
+         cost();
+         b.tick(3);
+       },
+       6 * all},
   };
   for (const auto& c : cases) {
     c.event();
--- a/tests/pipeline_lead_test.cpp
+++ b/tests/pipeline_lead_test.cpp
@@ -115,6 +115,50 @@
   EXPECT_EQ(p.granted(3), (std::vector{run(1), run(5)}));
 }
 
+// The parts are asked what could be made room for at that priority, and the grant carries it to them.
+TEST(PipelineLead, GrantsNameTheInheritedPriority) {
+  Pipeline p;
+  p.job(1, {}, [](wire::JobSpec& s) { s.priority = Priority::kLow; });
+  p.job(5, {}, [](wire::JobSpec& s) { s.priority = Priority::kNormal; });
+  p.job(2, {run(1)}, [](wire::JobSpec& s) { s.priority = Priority::kHigh; });
+  auto ask = p.lead.begin_round(at(1), WallMs(0), {PartId(0)});
+  ASSERT_TRUE(ask);
+  ASSERT_EQ(ask->shapes.size(), 2u);
+  EXPECT_EQ(ask->shapes[0].priority, Priority::kHigh);
+  EXPECT_EQ(ask->shapes[1].priority, Priority::kNormal);
+  wire::ShapeRoom room{{Zone("a"), 1000, 0, 0, 0}};
+  p.lead.on_answer({ask->round, PartId(0), Term(1), Revision(1), {room, room}}, at(1));
+  auto grants = p.lead.decide(at(1), {{PartId(0), Term(1)}});
+  ASSERT_TRUE(grants && grants->size() == 2);
+  EXPECT_EQ((*grants)[0].grants.chunks.at(0).priority, Priority::kHigh);
+  EXPECT_FALSE((*grants)[1].grants.chunks.at(0).priority);
+  for (const auto& g : *grants)
+    EXPECT_EQ(store::parse_grants(store::to_json(g.grants)).chunks, g.grants.chunks);
+  EXPECT_THROW(
+      store::parse_grants(wire::parse_json(R"({"last":1,"chunks":[{"g":1,"p":0,"t":1,"r":"0","q":9}]})")),
+      wire::WireError);
+}
+
+// A fixed window of 2,000 tasks kept the rest of a large array waiting though there was room.
+TEST(Sizes, ALargeArrayGetsAllTheRoomThereIs) {
+  Lead lead({std::chrono::seconds(2), std::chrono::seconds(1), std::chrono::seconds(100), {}, 8},
+            {{Team("blue"), 0, 0, 0, 0}}, {});
+  store::Job job;
+  wire::JobSpec s;
+  s.id = run(1);
+  s.team = Team("blue");
+  s.tasks = wire::kMaxTasks;
+  s.each = {1, 0, 1};
+  job.record = {std::make_shared<const wire::JobSpec>(s), WallMs(0)};
+  lead.on_job(run(1), &job, std::nullopt, at(0));
+  auto ask = lead.begin_round(at(1), WallMs(0), {PartId(0)});
+  ASSERT_TRUE(ask);
+  lead.on_answer({ask->round, PartId(0), Term(1), Revision(1), {{{Zone("a"), 48000, 0, 0, 0}}}}, at(1));
+  auto grants = lead.decide(at(1), {{PartId(0), Term(1)}});
+  ASSERT_TRUE(grants && grants->size() == 1);
+  EXPECT_EQ((*grants)[0].grants.chunks.at(0).tasks.count(), 48000u);
+}
+
 TEST(PipelineNeeds, DeadlinesFlowBackByTheLongestPath) {
   auto seconds = [](int s) { return Duration(std::chrono::seconds(s)); };
   struct Step {
