--- a/src/node/leader_records.cpp
+++ b/src/node/leader_records.cpp
@@ -145,6 +145,7 @@
   keys.push_back({store::job_key(id), job->created});
   keys.resize(std::min(keys.size(), ctx_.store->sizes().txn_ops()));
   std::vector<wire::Write> drops;
+  drops.reserve(keys.size());
   for (const auto& k : keys) drops.push_back({k.key, std::nullopt, std::nullopt});
   if (!draft.add(keys, drops)) return draft.empty();
   tidying_.insert(id);
--- a/src/store/registry.cpp
+++ b/src/store/registry.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 std::size_t empty_bytes() {
-  static const std::size_t bytes = value_bytes(to_json(std::vector<MachineRecord>{}));
-  return bytes;
+  static const std::size_t kBytes = value_bytes(to_json(std::vector<MachineRecord>{}));
+  return kBytes;
 }
 
 // Text that JSON writes as it is, between quotes.
@@ -23,13 +23,13 @@
 // Bytes that a machine takes up in a value, with its comma. Writing JSON to find out is slow, and thousands
 // are reckoned with for each change: what isn't text is the same for all, at most.
 std::size_t record_bytes(const MachineRecord& m) {
-  static const std::size_t fixed = value_bytes(to_json(std::vector{MachineRecord{
-                                       MachineName("n"), MachineType("t"), Zone("z"), false, "a", true}})) -
-                                   empty_bytes() - 4 + 1;
+  static const std::size_t kFixed = value_bytes(to_json(std::vector{MachineRecord{
+                                        MachineName("n"), MachineType("t"), Zone("z"), false, "a", true}})) -
+                                    empty_bytes() - 4 + 1;
   const auto &name = m.name.value(), &type = m.type.value(), &zone = m.zone.value();
   if (!plain(name) || !plain(type) || !plain(zone) || !plain(m.address))
     return value_bytes(to_json(std::vector{m})) - empty_bytes() + 1;
-  return fixed + name.size() + type.size() + zone.size() + m.address.size();
+  return kFixed + name.size() + type.size() + zone.size() + m.address.size();
 }
 
 // A piece of a bucket while it's being planned.
