--- a/src/part/estimator.cpp
+++ b/src/part/estimator.cpp
@@ -60,13 +60,14 @@
   std::map<Zone, wire::ZoneRoom> zones;
   for (const auto& [name, m] : machines) {
     if (!m.usable(now) || !allowed(s, m.type, m.zone, m.spot)) continue;
+    auto n = room_on(m, s, rules, false);
+    auto more = std::max(room_on(m, s, rules, true), n) - n;
+    if (n == 0 && more == 0) continue;
     auto image = image_on(m, s.image);
     if (image == Image::kBehind) continue;
     auto& z = zones[m.zone];
     z.zone = m.zone;
-    auto n = room_on(m, s, rules, false);
     z.free += n;
-    auto more = std::max(room_on(m, s, rules, true), n) - n;
     z.preemptible += more;
     if (image == Image::kHere) {
       z.warm += n;
