Lists of the cloud's machines don't pile up; grants written over alone fit a transaction

At 4,000 machines a list is nine pages, and at 7 requests a second for all controllers it takes longer than the 2.5 s between two lists: they would all have waited in vain, and with them rentals. One at a time now, and half of the time is left to the rest.

--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -213,27 +213,24 @@
     return true;
   });
   // What is written over so that an earlier transaction can't come beside these has to be in the same one.
-  if (fence_dropped || !fit_transaction(grants)) grants.clear();
+  if (fence_dropped) return grants.clear();
+  fit_transaction(grants);
 }
 
-// Leaves out grants beyond what a transaction holds: they come with the next round. False: not even those fit
-// that are only written over.
-bool LeaderDuty::fit_transaction(std::vector<lead::Lead::Grant>& grants) const {
+// Leaves out grants beyond what a transaction holds: they come with the next round. What is only written over
+// comes first, and alone if not all of that fits.
+void LeaderDuty::fit_transaction(std::vector<lead::Lead::Grant>& grants) const {
   auto is_new = [&](const auto& g) {
     const auto* job = ctx_.view().job(g.job);
     return !job || g.grants.last > job->grants.value.last;
   };
-  auto first_new =
-      std::stable_partition(grants.begin(), grants.end(), [&](const auto& g) { return !is_new(g); });
-  const auto fences = static_cast<std::size_t>(first_new - grants.begin());
+  std::stable_partition(grants.begin(), grants.end(), [&](const auto& g) { return !is_new(g); });
   std::size_t bytes = 0;
-  for (std::size_t i = 0; i < grants.size(); ++i) {
-    bytes += store::value_bytes(store::to_json(grants[i].grants)) + kKeysOfGrantBytes;
-    if (bytes <= store::kMaxTxnBytes) continue;
-    if (i < fences) return false;
-    grants.erase(grants.begin() + static_cast<std::ptrdiff_t>(i), grants.end());
-  }
-  return true;
+  auto full = std::find_if(grants.begin(), grants.end(), [&](const auto& g) {
+    bytes += store::value_bytes(store::to_json(g.grants)) + kKeysOfGrantBytes;
+    return bytes > store::kMaxTxnBytes;
+  });
+  grants.erase(full, grants.end());
 }
 
 wire::Txn LeaderDuty::grants_txn(const std::vector<lead::Lead::Grant>& grants,
@@ -319,9 +316,15 @@
   }
 }
 
+// Thousands of machines are many pages, which take longer than a tick: lists that pile up would all wait in
+// vain for the cloud's limit. Half of the time is left to rentals and deletions.
 void LeaderDuty::list_machines() {
-  if (!lead_) return;
-  ctx_.cloud->list([this](std::optional<std::vector<wire::ListedMachine>> machines) {
+  const auto begun = ctx_.now();
+  if (!lead_ || listing_ || begun < list_next_) return;
+  listing_ = true;
+  ctx_.cloud->list([this, begun](std::optional<std::vector<wire::ListedMachine>> machines) {
+    listing_ = false;
+    list_next_ = ctx_.now() + (ctx_.now() - begun);
     if (capacity_ && machines) capacity_->on_list(std::move(*machines), ctx_.now());
   });
 }
--- a/src/node/leader_duty.h
+++ b/src/node/leader_duty.h
@@ -44,7 +44,7 @@
   void rounds();
   void begin_round();
   void drop_oversized(std::vector<lead::Lead::Grant>& grants) const;
-  bool fit_transaction(std::vector<lead::Lead::Grant>& grants) const;
+  void fit_transaction(std::vector<lead::Lead::Grant>& grants) const;
   wire::Txn grants_txn(const std::vector<lead::Lead::Grant>& grants, const wire::Condition& leader) const;
   void write_grants(const std::vector<lead::Lead::Grant>& grants, const wire::Condition& leader,
                     store::Urgency urgency);
@@ -76,6 +76,8 @@
   std::unique_ptr<lead::Capacity> capacity_;
   std::set<JobId> ending_, tidying_;
   Instant ends_again_{};
+  Instant list_next_{};  // when the machines may be listed again
+  bool listing_ = false;
   std::map<PartId, wire::Summary> summaries_;  // also while another leads
   bool writing_versions_ = false;
   bool read_ = false;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -334,6 +334,18 @@
   EXPECT_EQ(w.call(0, "POST", "/v1/jobs", World::job("run-3", "batch", 1)).status, 201);
 }
 
+// At thousands of machines a list takes longer than the time between two of them.
+TEST(EndToEnd, ListsOfMachinesDoNotPileUp) {
+  World w;
+  w.healthy();
+  w.run_until([&] { return w.cloud.lists > 0; }, "listed");
+  w.cloud.lists = 0;
+  w.cloud.lists_silent = true;
+  w.io.run_for(std::chrono::seconds(9));
+  EXPECT_GE(w.cloud.lists, 1);
+  EXPECT_LE(w.cloud.lists, 2);
+}
+
 TEST(EndToEnd, AnUnreadableStateServiceIsNever404) {
   World w;
   w.healthy();
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -326,6 +326,8 @@
                 {200,
                  R"({"hulls":[{"sku":"t4","vcpus":4,"cards":0,"memoryGb":16,"localGb":20,"pullGbPerS":1.0,
               "hourly":1.0,"lowPrice":0.5,"readyS":5,"harbours":["east","west"]}]})"});
+          if (r.path == "/machines" && r.method == "GET") ++lists;
+          if (r.path == "/machines" && r.method == "GET" && lists_silent) return unanswered.push_back(reply);
           if (r.path == "/machines" && r.method == "GET")
             return reply({200, R"({"beacons":[],"more":false})"});
           if (r.path == "/machines/delete") {
@@ -337,6 +339,9 @@
     server->start();
   }
   std::set<std::string> deleted;
+  int lists = 0;              // requests for the list of machines
+  bool lists_silent = false;  // they get no answer
+  std::vector<HttpServer::Reply> unanswered;
   std::shared_ptr<HttpServer> server;
 };
 
