--- a/tests/sim/rules.cpp
+++ b/tests/sim/rules.cpp
@@ -172,8 +172,8 @@
   if (job.cancel_asked || (told != told_.end() && told->second.over)) return false;
   const auto& spec = *job.spec;
   bool ready = true;
-  // That its tasks completed isn't enough: the machine may have been lost before it reported that, and the task has to
-  // be started once more (seed 50033 with pipelines).
+  // That its tasks completed isn't enough: the machine may have been lost before it reported that, and the
+  // task has to be started once more (seed 50033 with pipelines).
   books_.each_needed(id, [&](const Job& needed) { ready &= recorded_done_.contains(needed.spec->id); });
   if (!ready) return false;
   std::set<std::uint32_t> there = job.done;
