Failures are judged by what works elsewhere; workers go back to an owner that reaches them

Change: part::FailureEvidence, lead::FailingJobs and a verdict in the owners' messages (earlier versions ignore it); Part::point_here asks for an answered command or probe.

--- a/src/lead/lead.cpp
+++ b/src/lead/lead.cpp
@@ -62,7 +62,10 @@
                   std::optional<WallMs> ready_since) {
   auto it = jobs_.find(id);
   if (it != jobs_.end()) ledger(it->second, -1);
-  if (end || !job) needs_.on_over(id);
+  if (end || !job) {
+    needs_.on_over(id);
+    failing_.erase(id);
+  }
   unindex(id);
   if (!job || !job->record.spec) {
     if (it != jobs_.end()) jobs_.erase(it);
@@ -90,6 +93,7 @@
   // That a task is done stays true whoever owns the part.
   if (told != told_.end())
     for (const auto& [part, t] : told->second) e.done.add(t.progress.done);
+  if (!e.done.empty()) failing_.erase(id);
   e.live.clear();
   e.kept.clear();
   e.out = e.told_returned = e.charged = 0;
@@ -213,6 +217,12 @@
   }
 }
 
+void Lead::on_verdict(const JobId& id, wire::Verdict verdict, Instant now) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.end || !it->second.done.empty()) return;
+  failing_.on_verdict(id, verdict, it->second.granted, now);
+}
+
 std::vector<JobId> Lead::on_terms(const std::map<PartId, Term>& terms) {
   std::vector<JobId> touched;
   if (terms == terms_) return touched;
@@ -252,7 +262,7 @@
   auto usage = usage_;
   for (const auto& id : waiting_) {
     const auto& e = jobs_.at(id);
-    auto n = std::min(e.pending.count(), allowed_by_quota(e, usage));
+    auto n = grantable(id, e, usage, now);
     if (n == 0) continue;
     auto fresh = n - std::min(n, e.told_returned);
     usage[e.record.spec->team] += e.record.spec->each * static_cast<double>(fresh);
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/settings.h"
+#include "lead/failing_jobs.h"
 #include "lead/pipeline.h"
 #include "lead/queue.h"
 #include "lead/split.h"
@@ -43,6 +44,8 @@
   // What an owner told of tasks that it was granted. Each of its jobs is then to be gone through again by
   // on_job, and those returned by on_terms as well.
   void on_outcomes(const wire::Outcomes& o);
+  // What an owner found out about a job of which tasks failed.
+  void on_verdict(const JobId& id, wire::Verdict verdict, Instant now);
   // The parts' terms. What was told as returned under another term counts no more.
   std::vector<JobId> on_terms(const std::map<PartId, Term>& terms);
   void on_summary(const wire::Summary& s, Instant now);
@@ -142,15 +145,18 @@
   // Rooms that hold all `n` tasks of a gang: of one part if one can, else of several; empty if they can't.
   static std::vector<Room> rooms_for_gang(std::uint32_t n, std::vector<Room> rooms);
   std::uint32_t allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const;
+  // Tasks of the job that wait and may be granted now.
+  std::uint32_t grantable(const JobId& id, const Entry& e, const std::map<Team, Resources>& usage,
+                          Instant now) const;
   // Jobs of which some task waits and could be granted, in the order in which they are served.
-  std::vector<QueuedJob> order(WallMs wall, bool services_only) const;
+  std::vector<QueuedJob> order(Instant now, WallMs wall, bool services_only) const;
   // By when arrays have to start to keep the first of their times that they can keep; those that can keep
   // none are left out.
   std::map<JobId, double> plan(WallMs wall) const;
-  bool services_wait() const;
+  bool services_wait(Instant now) const;
   // See QueuedJob::overdue. How far the wait of a job that has got nothing is beyond the longest, in its
   // multiples.
-  double overdue(const Entry& e, WallMs wall) const;
+  double overdue(const JobId& id, const Entry& e, WallMs wall) const;
   void ledger(const Entry& e, int sign);
   // Keeps the sets of jobs by what is to be done about them.
   void index(const JobId& id, const Entry& e);
@@ -176,6 +182,7 @@
   // must not go through all jobs there are.
   std::set<JobId> waiting_, arrays_, open_, finished_, drained_;
   PipelineNeeds needs_;
+  FailingJobs failing_;
   struct Told {
     Term term;
     store::Progress progress;
--- a/src/lead/lead_order.cpp
+++ b/src/lead/lead_order.cpp
@@ -36,7 +36,8 @@
   return {times.begin(), times.end()};
 }
 
-double Lead::overdue(const Entry& e, WallMs wall) const {
+double Lead::overdue(const JobId& id, const Entry& e, WallMs wall) const {
+  if (failing_.contains(id)) return 0;
   if (e.out > 0 || !e.done.empty() || params_.longest_wait <= Duration(0)) return 0;
   return static_cast<double>(wall.value() - e.counts_from.value()) / 1000 / to_seconds(params_.longest_wait);
 }
@@ -48,6 +49,7 @@
     const auto& e = jobs_.at(id);
     const auto& spec = *e.record.spec;
     cpus += spec.each.cpus * e.out;
+    if (failing_.contains(id)) continue;
     if (e.pending.empty()) {
       begun += spec.each.cpus * spec.estimate_s * kUnderWay * e.out;
       continue;
@@ -68,14 +70,14 @@
   return planned;
 }
 
-std::vector<QueuedJob> Lead::order(WallMs wall, bool services_only) const {
+std::vector<QueuedJob> Lead::order(Instant now, WallMs wall, bool services_only) const {
   auto planned = services_only ? std::map<JobId, double>{} : plan(wall);
   std::vector<QueuedJob> waiting;
   for (const auto& id : waiting_) {
     const auto& e = jobs_.at(id);
     bool service = e.record.spec->kind == JobKind::kService;
     if (e.too_long > 0 || (services_only && !service)) continue;
-    auto n = std::min(e.pending.count(), allowed_by_quota(e, usage_));
+    auto n = grantable(id, e, usage_, now);
     bool gang = e.record.spec->kind == JobKind::kGang;
     // A gang is granted as a whole, and anew only once nothing of its last attempt is left anywhere.
     if (n == 0 || (gang && n < e.pending.count())) continue;
@@ -85,7 +87,7 @@
     q.priority = e.need.priority;
     q.due_ms = q.submitted_ms = e.counts_from.value();
     q.wanted = e.record.spec->each * static_cast<double>(n);
-    auto waits = overdue(e, wall);
+    auto waits = overdue(id, e, wall);
     q.overdue = waits < 1 ? 0 : waits < kBeforeAll ? 1 : 2;
     if (!e.need.due_ms.empty() && !service) {
       auto start = planned.find(id);
@@ -98,13 +100,21 @@
 }
 
 // Whether some service could be granted a task now.
-bool Lead::services_wait() const {
+bool Lead::services_wait(Instant now) const {
   return std::any_of(waiting_.begin(), waiting_.end(), [&](const JobId& id) {
     const auto& e = jobs_.at(id);
-    return e.record.spec->kind == JobKind::kService && e.too_long == 0 && allowed_by_quota(e, usage_) > 0;
+    return e.record.spec->kind == JobKind::kService && e.too_long == 0 && grantable(id, e, usage_, now) > 0;
   });
 }
 
+std::uint32_t Lead::grantable(const JobId& id, const Entry& e, const std::map<Team, Resources>& usage,
+                              Instant now) const {
+  auto n = std::min(e.pending.count(), allowed_by_quota(e, usage));
+  if (!failing_.contains(id)) return n;
+  if (e.out > 0 || !failing_.due(id, now)) return 0;
+  return e.record.spec->kind == JobKind::kGang ? n : std::min(n, 1u);
+}
+
 std::uint32_t Lead::allowed_by_quota(const Entry& e, const std::map<Team, Resources>& usage) const {
   const auto& spec = *e.record.spec;
   // What was told to be returned is in the ledger until the write that grants it anew. How many tasks of a
--- a/src/lead/lead_round.cpp
+++ b/src/lead/lead_round.cpp
@@ -31,9 +31,9 @@
   Round r;
   // What came just now and shouldn't wait goes by itself: a write for many arrays would hold up services. But
   // services that find no room would hold up the arrays without end, as others come.
-  bool services_only = urgent_ && now - last_full_round_ < params_.report_period && services_wait();
+  bool services_only = urgent_ && now - last_full_round_ < params_.report_period && services_wait(now);
   if (!services_only) last_full_round_ = now;
-  choose(order(wall, services_only), r, now, wall);
+  choose(order(now, wall, services_only), r, now, wall);
   urgent_ = false;
   if (r.jobs.empty()) return std::nullopt;
   r.id = next_round_++;
@@ -75,7 +75,7 @@
     e.asked = now;
     r.shape_of.push_back(*shape_of[i]);
     r.jobs.push_back(waiting[i].id);
-    if (auto w = overdue(e, wall); w >= 1 && w < kGiveWay) r.overdue.insert(waiting[i].id);
+    if (auto w = overdue(waiting[i].id, e, wall); w >= 1 && w < kGiveWay) r.overdue.insert(waiting[i].id);
   }
 }
 
@@ -154,7 +154,7 @@
     if (job == jobs_.end() || job->second.end || job->second.pending.empty()) continue;
     auto& e = job->second;
     const auto& spec = *e.record.spec;
-    std::uint32_t want = std::min(e.pending.count(), allowed_by_quota(e, usage));
+    std::uint32_t want = grantable(job->first, e, usage, now);
     if (want == 0) continue;
 
     bool gang = spec.kind == JobKind::kGang;
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -125,6 +125,7 @@
       jobs.insert(j.job);
     }
   lead_->on_outcomes(known);
+  for (const auto& j : known.jobs) lead_->on_verdict(j.job, j.verdict, ctx_.now());
   go_through(jobs);
 }
 
--- a/src/node/worker_reports.cpp
+++ b/src/node/worker_reports.cpp
@@ -24,7 +24,7 @@
   auto it = parts_.find(id);
   if (it == parts_.end() || it->second.part->superseded()) return relay(id, r.body, reply);
   auto out = answer(it->second, id, report);
-  it->second.part->on_heard_directly(report.machine, ctx_.now());
+  it->second.part->on_heard_directly(report.machine);
   reply(std::move(out));
   kick();
 }
--- a/src/part/estimator.cpp
+++ b/src/part/estimator.cpp
@@ -9,7 +9,6 @@
 // At the same time on one machine. One alone is the quickest, but then the parts promise room that the first
 // of several jobs takes from the others.
 constexpr std::size_t kMaxFetches = 2;
-constexpr Duration kAvoidAfterError = std::chrono::seconds(60);
 
 wire::ShapeRoom as_list(const std::map<Zone, wire::ZoneRoom>& zones) {
   wire::ShapeRoom out;
@@ -102,7 +101,7 @@
 
 std::vector<Machine*> choose_machines(const std::vector<Machine*>& machines, const wire::Shape& s,
                                       const std::optional<Zone>& zone, const RoomRules& rules,
-                                      const JobId& job, bool warm, Instant now) {
+                                      const std::set<MachineName>& avoid, bool warm, Instant now) {
   struct Ranked {
     Image image;
     double idle;
@@ -113,7 +112,7 @@
     if (!m->usable(now) || !allowed(s, m->type, m->zone, m->spot) || (zone && *zone != m->zone)) continue;
     auto image = image_on(*m, s.image);
     if (!suits(image, warm)) continue;
-    if (auto e = m->errors.find(job); e != m->errors.end() && now - e->second < kAvoidAfterError) continue;
+    if (avoid.contains(m->name)) continue;
     if (room_on(*m, s, rules, false) == 0) continue;
     found.push_back({image, (m->total - m->used()).cpus, m});
   }
--- a/src/part/estimator.h
+++ b/src/part/estimator.h
@@ -51,9 +51,9 @@
 bool has_room(const Machine& m, const RoomRules& rules);
 
 // Placement: those of the machines that have room, best first: where the image is, then by how soon it will
-// be; among equals the fullest.
+// be; among equals the fullest. `avoid`: left out.
 std::vector<Machine*> choose_machines(const std::vector<Machine*>& machines, const wire::Shape& s,
                                       const std::optional<Zone>& zone, const RoomRules& rules,
-                                      const JobId& job, bool warm, Instant now);
+                                      const std::set<MachineName>& avoid, bool warm, Instant now);
 
 }  // namespace beaconsill::part
--- /dev/null
+++ b/src/part/failure_evidence.cpp
@@ -0,0 +1,107 @@
+#include "part/failure_evidence.h"
+
+#include <algorithm>
+
+namespace beaconsill::part {
+namespace {
+
+constexpr Duration kMemory = std::chrono::seconds(60);
+// Jobs known to work that fail on one machine: it is the machine.
+constexpr std::size_t kWorkingJobs = 2;
+// The same of jobs of which nothing is known: too many to be submitted with a mistake each.
+constexpr std::size_t kUnknownJobs = 5;
+// Of these, so many are reason enough to use other machines first.
+constexpr std::size_t kSuspiciousJobs = 2;
+constexpr Duration kSuspectFor = std::chrono::seconds(10);
+// Machines on which a job fails while it works on none: it is the job.
+constexpr std::size_t kFailsOnMachines = 2;
+constexpr Duration kFirstBackoff = std::chrono::seconds(1);
+constexpr Duration kLongestBackoff = std::chrono::seconds(30);
+
+}  // namespace
+
+void FailureEvidence::on_failed(const MachineName& machine, const JobId& id, bool works, Instant now) {
+  forget_old(now);
+  machines_[machine][id] = now;
+  auto& job = jobs_[id];
+  job.failed_on[machine] = job.last = now;
+  job.works = job.works || works;
+  // All tasks of a large array fail within moments: that counts once.
+  if (!fails_everywhere(job) || now < job.retry_at) return;
+  job.backoff = std::clamp(2 * job.backoff, kFirstBackoff, kLongestBackoff);
+  job.retry_at = now + job.backoff;
+}
+
+void FailureEvidence::on_worked(const MachineName& machine, const JobId& job, Instant placed) {
+  if (auto m = machines_.find(machine); m != machines_.end()) {
+    std::erase_if(m->second, [&](const auto& failure) { return failure.second <= placed; });
+    if (m->second.empty()) machines_.erase(m);
+  }
+  on_job_works(job);
+}
+
+void FailureEvidence::on_job_works(const JobId& id) {
+  if (auto job = jobs_.find(id); job != jobs_.end()) job->second.works = true;
+}
+
+bool FailureEvidence::fails_everywhere(const Job& job) const {
+  return !job.works && job.failed_on.size() >= kFailsOnMachines;
+}
+
+bool FailureEvidence::machine_faulty(const MachineName& machine) const {
+  auto m = machines_.find(machine);
+  if (m == machines_.end()) return false;
+  std::size_t working = 0, unknown = 0;
+  for (const auto& [id, when] : m->second) {
+    const auto& job = jobs_.at(id);
+    if (job.works) {
+      ++working;
+    } else if (!fails_everywhere(job)) {
+      ++unknown;
+    }
+  }
+  return working >= kWorkingJobs || working + unknown >= kUnknownJobs;
+}
+
+Instant FailureEvidence::suspect_until(const MachineName& machine) const {
+  auto m = machines_.find(machine);
+  if (m == machines_.end()) return {};
+  std::size_t unexplained = 0;
+  Instant last{};
+  for (const auto& [id, when] : m->second) {
+    if (fails_everywhere(jobs_.at(id))) continue;
+    ++unexplained;
+    last = std::max(last, when);
+  }
+  return unexplained >= kSuspiciousJobs ? last + kSuspectFor : Instant{};
+}
+
+bool FailureEvidence::job_fails(const JobId& id, Instant now) const {
+  auto job = jobs_.find(id);
+  return job != jobs_.end() && now - job->second.last < kMemory && fails_everywhere(job->second);
+}
+
+Instant FailureEvidence::retry_at(const JobId& id) const {
+  auto job = jobs_.find(id);
+  return job == jobs_.end() ? Instant{} : job->second.retry_at;
+}
+
+std::set<MachineName> FailureEvidence::failed_on(const JobId& id, Instant now) const {
+  std::set<MachineName> out;
+  auto job = jobs_.find(id);
+  if (job == jobs_.end()) return out;
+  for (const auto& [machine, when] : job->second.failed_on)
+    if (now - when < kMemory) out.insert(machine);
+  return out;
+}
+
+// Entries of a job go together, so that each failure noted for a machine has its job.
+void FailureEvidence::forget_old(Instant now) {
+  std::erase_if(jobs_, [&](const auto& job) { return now - job.second.last >= kMemory; });
+  for (auto machine = machines_.begin(); machine != machines_.end();) {
+    std::erase_if(machine->second, [&](const auto& failure) { return !jobs_.contains(failure.first); });
+    machine = machine->second.empty() ? machines_.erase(machine) : std::next(machine);
+  }
+}
+
+}  // namespace beaconsill::part
--- a/src/part/machine.h
+++ b/src/part/machine.h
@@ -37,6 +37,7 @@
   std::shared_ptr<const wire::JobSpec> spec;  // none if the job isn't known
   Instant since{};                            // placed or first seen
   std::optional<Instant> running_since;
+  bool runs_well = false;            // for so long that its job doesn't fail by itself
   std::optional<double> stop_grace;  // to be stopped
   bool stop_sent = false;
   bool may_forget = false;  // ended, and what it ended with is durable or of no use
@@ -88,10 +89,10 @@
   Instant heard{};  // last report, also as an answer to commands, or when the owner began to wait for one
   Instant last_report{};  // last one of its own accord: only these renew its lease
   Instant answered{};  // last answer to a report; whether the worker got it is another matter, see `doubted`
-  Instant heard_directly{};              // last report that was not relayed by another controller
   std::optional<Instant> relayed_since;  // since when it has come by way of others only
-  Instant redirected{};  // when the worker was last pointed here, or first answered by way of another
-  std::optional<Instant> taken_at;  // spot notice
+  Instant redirected{};                  // when the worker was last pointed here
+  Instant commands_answered{};           // when it last answered commands or a probe
+  std::optional<Instant> taken_at;       // spot notice
   std::map<TaskKey, TaskOn> tasks;
   bool strays = false;  // some of them may not be granted to this part, see Part::stop_strays
   ImageCache images;
@@ -139,7 +140,7 @@
   bool deleting = false;
   std::optional<Instant> delete_retry;
   Instant idle_since{};
-  std::map<JobId, Instant> errors;  // jobs that failed here, and when last
+  Instant avoided_until{};  // see FailureEvidence::suspect_until
 
   // What the tasks on it take. It's asked for far more often than it changes: whoever changes `tasks`, or
   // what in them counts here, calls `changed`.
@@ -155,7 +156,8 @@
   void changed() { load_.reset(); }
   bool usable(Instant now) const {
     return reported && registered && type_known && !closed && !sick && !deleting && !taken_at &&
-           now - heard < quiet && now - last_report < mute && unanswered == 0 && channel != Channel::kFencing;
+           now - heard < quiet && now - last_report < mute && unanswered == 0 &&
+           channel != Channel::kFencing && now >= avoided_until;
   }
   Duration quiet = std::chrono::seconds(4);  // without a sign of life for this long it gets no new tasks
   // The same without a report of its own accord: what is started then would end with the lease.
--- a/src/part/part.cpp
+++ b/src/part/part.cpp
@@ -110,6 +110,9 @@
   pj.end = end;
   auto recorded = job->progress.find(id_);
   pj.recorded = recorded == job->progress.end() ? store::Progress{} : recorded->second.value;
+  pj.works = pj.works || std::any_of(job->progress.begin(), job->progress.end(),
+                                     [](const auto& p) { return !p.second.value.done.empty(); });
+  if (pj.works) evidence_.on_job_works(id);
   pj.recalled = job->grants.value.recall;
   pj.generations.clear();
   std::set<std::uint32_t> wanted;
@@ -211,7 +214,9 @@
     if (!job.untold && !(all && job.dirty)) continue;
     job.untold = false;
     auto p = progress_of(job);
-    if (p != job.recorded) out.push_back({id, std::move(p.done), std::move(p.returned)});
+    auto verdict = std::exchange(job.verdict, wire::Verdict::kNone);
+    if (p != job.recorded || verdict != wire::Verdict::kNone)
+      out.push_back({id, std::move(p.done), std::move(p.returned), verdict});
   }
   return out;
 }
--- a/src/part/part.h
+++ b/src/part/part.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "part/estimator.h"
+#include "part/failure_evidence.h"
 #include "part/machine.h"
 #include "store/view.h"
 #include "wire/peer.h"
@@ -61,7 +62,7 @@
   // that way.
   bool point_here(const wire::Report& r, Instant now);
   // Its report came to this node itself.
-  void on_heard_directly(const MachineName& m, Instant now);
+  void on_heard_directly(const MachineName& m);
   // The state of a job changed (none: it's gone).
   void on_job(const JobId& id, const store::Job* job, std::optional<store::End> end, Instant now);
   // Lets time pass and places tasks. `word`: all cancellations told before this time are known here, by
@@ -141,12 +142,12 @@
     bool recalled = false;
     std::set<Generation> generations;  // of the chunks this part holds
     std::map<std::uint32_t, Slot> slots;
-    std::map<MachineName, Instant> failed_on;
-    int failures = 0;
-    Instant not_before{};  // after failures
-    bool dirty = false;    // its progress may differ from what is recorded
-    bool untold = false;   // the same, since the leader was told
+    bool works = false;   // some task of it has completed, or runs well
+    bool dirty = false;   // its progress may differ from what is recorded
+    bool untold = false;  // the same, since the leader was told
     void mark() { dirty = untold = true; }
+    // What the leader is still to be told of its failures.
+    wire::Verdict verdict = wire::Verdict::kNone;
   };
 
   // `hears`: the report answers commands, so they have reached the worker.
@@ -175,6 +176,11 @@
   void lose_all(Machine& m, Instant now);
   void on_ended(Machine& m, const TaskKey& key, TaskOn& t, Instant now);
   void failed(Machine& m, const JobId& job, Instant now);
+  // A task placed on the machine at `placed` has completed, or runs well.
+  void worked(Machine& m, const JobId& job, Instant placed, Instant now);
+  void set_aside_if_faulty(Machine& m);
+  // The job fails wherever it's started, and isn't to be tried at present.
+  bool held_back(const JobId& id, Instant now) const;
   void adopt(Machine& m, const TaskKey& key, TaskOn& t, Instant now);
   bool outdated(const Slot& slot, const TaskId& task, const Machine& m, const TaskOn& t);
   void update(Machine& m, const TaskKey& key, TaskOn& t, const wire::TaskReport& r, Instant now);
@@ -243,6 +249,7 @@
   // The machines that list a task, one entry for each attempt: what is asked about a task or a job is
   // answered without going through all machines.
   Listed where_;
+  FailureEvidence evidence_;
   std::vector<Machine*> touched_;
   std::uint64_t reports_ = 0;
   mutable std::uint64_t effort_ = 0;
--- a/src/part/part_machines.cpp
+++ b/src/part/part_machines.cpp
@@ -105,7 +105,7 @@
     if (m.unanswered_since) ++m.unanswered;
   } else {
     m.forget_unanswered();
-    commands_answered_[m.zone] = now;
+    m.commands_answered = commands_answered_[m.zone] = now;
   }
   if (b.commands.empty()) {
     m.probe_under_way = false;
@@ -195,6 +195,7 @@
   if (it == machines_.end()) return;
   lose_all(it->second, now);
   std::erase(touched_, &it->second);
+  evidence_.on_machine_gone(name);
   machines_.erase(it);
   registry_dirty_ = true;
   check_rebuilt(now);
--- a/src/part/part_placement.cpp
+++ b/src/part/part_placement.cpp
@@ -15,7 +15,7 @@
     auto& job = jobs_.at(*w);
     bool waits = std::any_of(job.slots.begin(), job.slots.end(),
                              [](const auto& s) { return s.second.status == Slot::Status::kWaiting; });
-    if (waits && !job.end && now >= job.not_before) waiting.emplace_back(*w, &job);
+    if (waits && !job.end && !held_back(*w, now)) waiting.emplace_back(*w, &job);
     w = waits ? std::next(w) : waiting_.erase(w);
   }
   if (waiting.empty()) return;
@@ -51,9 +51,10 @@
   });
   if (!ready) return;
   auto shape = shape_of(*job.record.spec, 1);
+  const auto avoid = evidence_.failed_on(id, now);
   std::vector<std::pair<std::uint32_t, Machine*>> placed;
   for (auto& [n, slot] : job.slots) {
-    auto fitting = choose_machines(open, shape, slot.zone, params_.rules, id, false, now);
+    auto fitting = choose_machines(open, shape, slot.zone, params_.rules, avoid, false, now);
     if (fitting.empty()) break;
     start(*fitting.front(), {id, n}, job, slot, now);
     placed.emplace_back(n, fitting.front());
@@ -112,6 +113,8 @@
              s.each.gpus <= shape.each.gpus && s.each.memory_gb <= shape.each.memory_gb;
     });
   };
+  const auto avoid = evidence_.failed_on(id, now);
+  const bool fails = evidence_.job_fails(id, now);
   // The best first. They are looked for once: what is placed makes the first one fuller, and so only better,
   // until it has no room left.
   std::vector<Machine*> fitting;
@@ -121,7 +124,7 @@
   auto best = [&](const std::optional<Zone>& zone) -> Machine* {
     if (!looked || looked_in != zone) {
       effort_ += pass.open.size();
-      fitting = choose_machines(pass.open, shape, zone, params_.rules, id, warm, now);
+      fitting = choose_machines(pass.open, shape, zone, params_.rules, avoid, warm, now);
       looked = true;
       looked_in = zone;
       at = 0;
@@ -147,6 +150,7 @@
         if (room_on(it->second, shape, params_.rules, false) == 0) continue;
         if (pass.promised) (*pass.promised)[it->first] -= shape.each;
         start(it->second, task, job, slot, now);
+        if (fails) return;
         continue;
       }
     }
@@ -157,14 +161,25 @@
     }
     if (!m) {
       // A job that failed on machines avoids them: that they have no room for it says nothing of others.
-      if (!job.failed_on.empty()) break;
+      if (!avoid.empty()) break;
       pass.full.emplace_back(shape, slot.zone);
       continue;
     }
     start(*m, task, job, slot, now);
+    if (fails) return;
   }
 }
 
+// Found on days with jobs submitted with a mistake: each of their hundreds of tasks was started again and
+// again. One task at a time shows as much.
+bool Part::held_back(const JobId& id, Instant now) const {
+  if (!evidence_.job_fails(id, now)) return false;
+  if (now < evidence_.retry_at(id)) return true;
+  bool tried = false;
+  each_listed(id, [&](const Machine&, const TaskKey&, const TaskOn& t) { tried = tried || live(t); });
+  return tried;
+}
+
 bool Part::on_some_machine(const TaskId& id) const {
   auto w = where_.find(id);
   if (w == where_.end()) return false;
--- a/src/part/part_reports.cpp
+++ b/src/part/part_reports.cpp
@@ -11,10 +11,8 @@
 using wire::EndCause;
 using wire::TaskState;
 
-constexpr Duration kErrorMemory = std::chrono::seconds(60);
-constexpr double kMaxBackoff = 30;
-constexpr std::size_t kSickJobs = 2;     // so many jobs fail on a machine: it is the machine
-constexpr std::size_t kBadMachines = 3;  // a job fails on so many machines: it is the job
+// A task that has run for so long shows that its job doesn't fail wherever it's started.
+constexpr Duration kRunsWell = std::chrono::seconds(10);
 constexpr Duration kPointAgain = std::chrono::seconds(20);
 
 }  // namespace
@@ -99,8 +97,11 @@
   return a;
 }
 
-// A worker with running tasks that comes by way of another controller may be cut off from this one: pointed
-// here first, it could lose its lease before it's back. It's answered at once and pointed here later, to try.
+// A worker with running tasks that comes by way of another controller may be cut off from this one. Sent here
+// in vain it waits for an answer, then goes to the next controller, and its lease may be over by then: on a
+// recorded day whole parts lost their tasks at the second cut of a controller, since each machine had been
+// sent back in the first one and so wasn't answered at once in the second. So it's sent here only if it has
+// answered commands of this node lately, and otherwise answered and probed.
 bool Part::point_here(const wire::Report& r, Instant now) {
   auto it = machines_.find(r.machine);
   bool busy =
@@ -108,24 +109,18 @@
   if (it == machines_.end() || !busy) return true;
   auto& m = it->second;
   if (!m.relayed_since) m.relayed_since = now;
-  if (m.redirected == Instant{}) {
-    // Never here under this term: a takeover, most likely, and this node is in reach.
-    if (m.heard_directly == Instant{}) {
-      m.redirected = now;
-      return true;
-    }
-    m.redirected = now;
+  if (now - m.commands_answered > kAnswerPatience) {
+    if (m.can_be_probed()) probe(m, now);
     return false;
   }
-  if (now - m.redirected < kPointAgain) return false;
+  if (m.redirected != Instant{} && now - m.redirected < kPointAgain) return false;
   m.redirected = now;
   return true;
 }
 
-void Part::on_heard_directly(const MachineName& name, Instant now) {
+void Part::on_heard_directly(const MachineName& name) {
   auto* m = find_machine(name);
   if (!m) return;
-  m->heard_directly = now;
   m->relayed_since.reset();
 }
 
@@ -216,6 +211,10 @@
     spdlog::debug("{}: {} runs, {:.2f} s after it was placed", m.name.value(), wire::task_name(key.first),
                   to_seconds(now - t.since));
   }
+  if (t.running_since && !t.runs_well && live(t) && now - *t.running_since >= kRunsWell) {
+    t.runs_well = true;
+    worked(m, key.first.job, t.since, now);
+  }
   if (t.spec && (r.state == TaskState::kRunning || r.state == TaskState::kWaiting))
     m.images.use(t.spec->image, t.spec->image_gb, now);
   if (live(t)) {
@@ -260,6 +259,7 @@
 
 void Part::on_ended(Machine& m, const TaskKey& key, TaskOn& t, Instant now) {
   if (t.cause == EndCause::kDone) {
+    worked(m, key.first.job, t.since, now);
     if (auto* slot = find_slot(key.first)) {
       if (slot->status != Slot::Status::kReturned) slot->status = Slot::Status::kDone;
       jobs_[key.first.job].mark();
@@ -292,27 +292,34 @@
   m.idle_since = now;
 }
 
-// Evidence decides whom to blame: a machine on which many jobs fail is sick, a job that fails on many
-// machines is bad.
 void Part::failed(Machine& m, const JobId& id, Instant now) {
-  std::erase_if(m.errors, [&](const auto& e) { return now - e.second > kErrorMemory; });
-  m.errors[id] = now;
   auto* job = find_job(id);
-  if (!job) return;
-  job->failed_on[m.name] = now;
-  if (job->failed_on.size() >= 2) {
-    ++job->failures;
-    job->not_before =
-        now + from_seconds(std::min(kMaxBackoff, std::pow(2.0, std::min(job->failures, 6) - 1)));
-  }
-  auto blamed = static_cast<std::size_t>(std::count_if(m.errors.begin(), m.errors.end(), [&](const auto& e) {
-    auto* j = find_job(e.first);
-    return !j || j->failed_on.size() < kBadMachines;
-  }));
-  if (!m.sick && blamed >= kSickJobs) {
-    m.sick = registry_dirty_ = true;
-    spdlog::info("{}: tasks of {} jobs failed here, set aside", m.name.value(), blamed);
+  evidence_.on_failed(m.name, id, job && job->works, now);
+  m.avoided_until = evidence_.suspect_until(m.name);
+  set_aside_if_faulty(m);
+  if (!job || !evidence_.job_fails(id, now)) return;
+  job->verdict = wire::Verdict::kFails;
+  job->untold = true;
+}
+
+void Part::worked(Machine& m, const JobId& id, Instant placed, Instant now) {
+  auto* job = find_job(id);
+  if (job) job->works = true;
+  if (!evidence_.concerns(m.name, id)) return;
+  if (job && evidence_.job_fails(id, now)) {
+    job->verdict = wire::Verdict::kWorks;
+    job->untold = true;
   }
+  evidence_.on_worked(m.name, id, placed);
+  m.avoided_until = evidence_.suspect_until(m.name);
+  for (const auto& name : evidence_.failed_on(id, now))
+    if (auto* other = find_machine(name)) set_aside_if_faulty(*other);
+}
+
+void Part::set_aside_if_faulty(Machine& m) {
+  if (m.sick || !evidence_.machine_faulty(m.name)) return;
+  m.sick = registry_dirty_ = true;
+  spdlog::info("{}: tasks of several jobs that work elsewhere failed here, set aside", m.name.value());
 }
 
 // Nothing more is started there until the worker shows that it hears, by a token raised for that: by its
--- a/src/wire/paging.cpp
+++ b/src/wire/paging.cpp
@@ -10,7 +10,7 @@
 // Bytes of the fixed fields of an entry with its pointers, and of a text with its padding (Cap'n Proto).
 constexpr std::size_t kMachineBytes = 72;
 constexpr std::size_t kJobCountBytes = 16;
-constexpr std::size_t kOutcomeBytes = 32;
+constexpr std::size_t kOutcomeBytes = 40;
 constexpr std::size_t kReturnedBytes = 24;
 
 std::size_t text_bytes(const std::string& text) {
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -168,6 +168,17 @@
   # Sets of task numbers as in the state service.
   done @1 :Text;
   returned @2 :List(Returned);
+  # What the owner has newly found out about a job of which tasks failed. Said once, and not repeated if it's
+  # lost; versions before it say nothing.
+  verdict @3 :Verdict;
+}
+
+enum Verdict {
+  none @0;
+  # Its tasks fail on several machines, and none is known to work.
+  fails @1;
+  # It was taken to fail, but some task has completed or runs well.
+  works @2;
 }
 
 struct Returned {
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -93,6 +93,24 @@
   return d;
 }
 
+peer::Verdict put_verdict(Verdict v) {
+  switch (v) {
+    case Verdict::kFails:
+      return peer::Verdict::FAILS;
+    case Verdict::kWorks:
+      return peer::Verdict::WORKS;
+    case Verdict::kNone:
+      break;
+  }
+  return peer::Verdict::NONE;
+}
+
+// One that a later version may have says nothing here.
+Verdict get_verdict(peer::Verdict v) {
+  if (v == peer::Verdict::FAILS) return Verdict::kFails;
+  return v == peer::Verdict::WORKS ? Verdict::kWorks : Verdict::kNone;
+}
+
 PeerBody get_body(peer::Message::Reader m) {
   switch (m.which()) {
     case peer::Message::HEARTBEAT: {
@@ -152,7 +170,7 @@
       auto r = m.getOutcomes();
       Outcomes o{PartId(r.getPart()), Term(r.getTerm()), {}};
       for (auto j : r.getJobs()) {
-        Outcome x{JobId(text(j.getJob())), get_ranges(j.getDone()), {}};
+        Outcome x{JobId(text(j.getJob())), get_ranges(j.getDone()), {}, get_verdict(j.getVerdict())};
         for (auto b : j.getReturned())
           x.returned.push_back({Generation(b.getGeneration()), get_ranges(b.getTasks())});
         o.jobs.push_back(std::move(x));
@@ -251,6 +269,7 @@
                      const auto& x = o.jobs[i];
                      list[i].setJob(x.job.value());
                      list[i].setDone(x.done.str());
+                     list[i].setVerdict(put_verdict(x.verdict));
                      auto back = list[i].initReturned(x.returned.size());
                      for (std::size_t k = 0; k < x.returned.size(); ++k) {
                        back[k].setGeneration(x.returned[k].generation.value());
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -122,10 +122,17 @@
   Ranges tasks;
   bool operator==(const Returned&) const = default;
 };
+// What an owner has found out about a job of which tasks failed.
+enum class Verdict {
+  kNone,   // nothing new
+  kFails,  // its tasks fail on several machines, and none is known to work
+  kWorks   // it was taken to fail, but some task has completed or runs well
+};
 struct Outcome {
   JobId job;
   Ranges done;
   std::vector<Returned> returned;
+  Verdict verdict = Verdict::kNone;
 };
 // What became of tasks granted to a part, as far as its owner's record may not hold it yet.
 struct Outcomes {
--- a/tests/lead_test.cpp
+++ b/tests/lead_test.cpp
@@ -336,5 +336,87 @@
   EXPECT_EQ(g[0].grants.chunks.at(0).tasks.count(), 6u);
 }
 
+// A job that an owner says fails everywhere, granted a task whenever one is due, and failing again at once.
+struct FailingJob {
+  explicit FailingJob(std::function<void(wire::JobSpec&)> change = {}) {
+    b.job("run-1", 100, std::move(change));
+    b.record(b.round(1, {{0, room(200)}, {1, {}}}), 1);
+    fails(2);
+  }
+  void fails(double t) {
+    auto& j = b.jobs["run-1"];
+    Ranges all;
+    for (auto& c : j.grants.value.chunks) all.add(c.tasks);
+    j.progress[PartId(0)].value.returned = {{j.grants.value.last, all}};
+    b.lead.on_verdict(JobId("run-1"), wire::Verdict::kFails, at(t));
+    b.show("run-1", t);
+  }
+  // How many of its tasks are granted.
+  std::uint32_t round(double t) {
+    auto grants = b.round(t, {{0, room(200)}, {1, {}}}, false, t);
+    std::uint32_t n = 0;
+    for (auto& g : grants)
+      if (g.job == JobId("run-1"))
+        for (auto& c : g.grants.chunks)
+          if (c.generation == g.grants.last) n += c.tasks.count();
+    b.record(grants, t);
+    return n;
+  }
+  Bench b;
+};
+
+TEST(FailingJob, IsTriedByOneTaskEverMoreSeldom) {
+  FailingJob f;
+  std::uint32_t granted = 0;
+  for (double t = 2.5; t < 120; t += 0.5) {
+    auto n = f.round(t);
+    EXPECT_LE(n, 1u) << t;
+    granted += n;
+    if (n) f.fails(t + 0.3);
+  }
+  EXPECT_GE(granted, 5u);
+  EXPECT_LE(granted, 8u);
+  // No machine is rented for what waits of it.
+  std::uint32_t wanted = 0;
+  for (auto& d : f.b.lead.demand(at(120))) wanted += d.shape.wanted;
+  EXPECT_LE(wanted, 1u);
+}
+
+TEST(FailingJob, DoesNotTakeTheHeadOfTheQueue) {
+  FailingJob f;
+  f.b.job("run-2", 4);
+  // Far beyond the longest wait, and still others are served before it.
+  auto grants = f.b.round(400, {{0, room(4)}, {1, {}}}, false, 400);
+  ASSERT_FALSE(grants.empty());
+  EXPECT_EQ(grants[0].job, JobId("run-2"));
+}
+
+TEST(FailingJob, IsGrantedAsAWholeOnceItWorks) {
+  for (bool by_word : {true, false}) {
+    FailingJob f;
+    ASSERT_EQ(f.round(10), 1u);
+    if (by_word) {
+      f.b.lead.on_verdict(JobId("run-1"), wire::Verdict::kWorks, at(20));
+    } else {
+      f.b.jobs["run-1"].progress[PartId(0)].value.done = Ranges::span(0, 1);
+    }
+    f.b.show("run-1", 20);
+    EXPECT_EQ(f.round(21), 99u) << by_word;
+  }
+}
+
+TEST(FailingJob, OneTaskOfItIsOutAtATime) {
+  FailingJob f;
+  ASSERT_EQ(f.round(10), 1u);
+  for (double t = 11; t < 60; t += 1) EXPECT_EQ(f.round(t), 0u) << t;
+}
+
+// All parts say so of the same grant, and copies of what they said come late.
+TEST(FailingJob, AGrantCountsOnce) {
+  FailingJob f;
+  for (int i = 0; i < 10; ++i) f.b.lead.on_verdict(JobId("run-1"), wire::Verdict::kFails, at(2.1));
+  EXPECT_EQ(f.round(4.5), 1u);
+}
+
 }  // namespace
 }  // namespace beaconsill::lead
--- a/tests/sim/books.h
+++ b/tests/sim/books.h
@@ -16,6 +16,7 @@
   double ready = 0;  // has its image
   double ends = 0;   // completes; services: never
   bool running = false;
+  bool fails = false;  // at `ends`
   bool ended = false;
   wire::EndCause cause = wire::EndCause::kDone;
   // From the image to the end it's on its machine, also if that hangs.
@@ -26,9 +27,10 @@
   MachineName name;
   Zone zone;
   bool gone = false;
-  double hangs_until = 0;  // does nothing
-  double deaf_until = 0;   // reports, but neither answers nor commands arrive
-  double mute_until = 0;   // commands arrive, but it reaches no controller
+  double hangs_until = 0;   // does nothing
+  double deaf_until = 0;    // reports, but neither answers nor commands arrive
+  double mute_until = 0;    // commands arrive, but it reaches no controller
+  double faulty_until = 0;  // fails every task that it starts
   std::uint64_t session = 1;
   std::uint64_t sequence = 0;
   std::uint64_t token = 0;
@@ -41,6 +43,7 @@
 struct Job {
   std::shared_ptr<const wire::JobSpec> spec;
   std::optional<double> run_s;  // of each task; none: drawn
+  bool mistaken = false;        // fails on every machine
   double submitted = 0;
   bool accepted = false;
   bool cancel_asked = false;
--- a/tests/sim/cloud.h
+++ b/tests/sim/cloud.h
@@ -21,6 +21,10 @@
   void remove(const MachineName& m, std::function<void(bool)> answer);
   // Until then new machines are up within two seconds.
   void boot_quickly(double until) { quick_until_ = until; }
+  // Until then they take up to a minute.
+  void boot_late(double until) { late_until_ = until; }
+  // How many deletions were asked for.
+  int removed() const { return removed_; }
 
  private:
   EventQueue& queue_;
@@ -28,6 +32,8 @@
   std::function<void(const MachineName&)> on_added_;
   int next_ = 0;
   double quick_until_ = 0;
+  double late_until_ = 0;
+  int removed_ = 0;
 };
 
 }  // namespace beaconsill::sim
--- a/tests/sim/controller_lead.cpp
+++ b/tests/sim/controller_lead.cpp
@@ -145,6 +145,7 @@
     jobs.insert(j.job);
   }
   p_.lead->on_outcomes(known);
+  for (const auto& j : known.jobs) p_.lead->on_verdict(j.job, j.verdict, instant());
   show_leader(jobs);
 }
 
--- a/tests/sim/options.h
+++ b/tests/sim/options.h
@@ -38,13 +38,17 @@
   kAwaitsLost,          // what a submission awaits gets lost
   kStartsUnready,       // the leader grants jobs whose needed jobs aren't done
   kAwaitedUnknown,      // a submission that names accepted jobs is refused for good
+  kFailuresUntold,      // the leader doesn't learn that a job fails wherever it's started
 };
 
 struct Options {
   std::uint64_t seed = 1;
   int machines = 14;
-  int jobs = 26;           // drawn ones
-  int pipelines = 0;       // drawn ones: chains, fans and diamonds of jobs that await each other
+  int jobs = 26;      // drawn ones
+  int pipelines = 0;  // drawn ones: chains, fans and diamonds of jobs that await each other
+  // The troubles from TroubleKind::kMistakenJobs on are drawn as well. Without them the schedules of a seed
+  // are those from before there were these.
+  bool operations = false;
   double troubles_s = 90;  // drawn troubles begin until then
   // By then everything must be served. The drawn troubles and users leave work beyond the teams' limits for
   // longer than 300 s in some schedules; who waits though it could run breaks `starved` long before.
@@ -69,6 +73,9 @@
   std::string first;                  // what was seen first
   int started = 0;
   int started_cancelled = 0;  // starts after a confirmed cancellation; counted, not forbidden
+  int started_mistaken = 0;   // starts of jobs that fail on every machine
+  int granted_mistaken = 0;   // writes of such jobs' grants
+  int removed = 0;            // machines that controllers had deleted
   int takeovers = 0;
   int answered = 0;
   double served_at = 0;               // when everything was in order after the troubles; 0: never
--- a/tests/sim/rules.cpp
+++ b/tests/sim/rules.cpp
@@ -61,6 +61,10 @@
 }
 
 void Rules::on_written(const wire::Write& w) {
+  const std::string grants = std::string(store::kPrefix) + "grants/";
+  if (w.value && w.key.starts_with(grants))
+    if (auto job = books_.jobs.find(JobId(w.key.substr(grants.size()))); job != books_.jobs.end())
+      outcome_.granted_mistaken += job->second.mistaken;
   const std::string ends = std::string(store::kPrefix) + "ends/";
   if (!w.key.starts_with(ends)) return;
   if (!w.value) return broke("went_back", w.key);
@@ -170,6 +174,7 @@
 bool Rules::could_run(const JobId& id, const Job& job) const {
   const auto& told = told_.find(id);
   if (job.cancel_asked || (told != told_.end() && told->second.over)) return false;
+  if (job.mistaken) return false;
   const auto& spec = *job.spec;
   bool ready = true;
   // That its tasks completed isn't enough: the machine may have been lost before it reported that, and the
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -223,6 +223,17 @@
   submit_until_accepted(next_spec(1), std::nullopt, cancelled ? env_.queue.uniform(0.05, 6) : 0);
 }
 
+void Users::submit_mistaken(double within_s) {
+  auto spec = next_spec(1 + static_cast<std::uint32_t>(env_.queue.draw_below(20)));
+  books_.jobs[spec.id].mistaken = true;
+  submit_until_accepted(spec, std::nullopt, env_.queue.uniform(0.5, 1) * within_s);
+}
+
+void Users::poll_drawn(int questions) {
+  for (int i = 0; i < questions; ++i)
+    if (auto id = drawn_job(); id && books_.jobs.at(*id).spec) poll(drawn_node(), *id);
+}
+
 void Users::fill_limits() {
   for (const auto& team : teams()) {
     auto s = next_spec(static_cast<std::uint32_t>(kTeamCpus) + 10);
--- a/tests/sim/users.h
+++ b/tests/sim/users.h
@@ -29,6 +29,10 @@
   void submit_pipeline(int i);
   // A job of one task.
   void submit_small();
+  // A job that fails on every machine. Its user cancels it within so many seconds.
+  void submit_mistaken(double within_s);
+  // So many questions about drawn jobs.
+  void poll_drawn(int questions);
   // For each team one array larger than its limit.
   void fill_limits();
   // Cancels so many jobs that run and have long to go, within a fifth of a second. Returns the machines that
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -147,6 +147,7 @@
       if (!rules_.satisfied(id, j, state_)) waiting += " " + id.value();
     rules_.broke("forgotten", "not served by the end:" + waiting);
   }
+  outcome_.removed = cloud_.removed();
   return outcome_;
 }
 
