Orders of machines are bounded and not repeated by a new leader; nothing is done on rights from before a stand-still

Change: Capacity waits for a complete list after a takeover, orders what is late once more only, learns how long machines are waited for, and goes elsewhere after one is given up. node::StandStill; rentals, deletions and claims wait for a read after it.

--- a/src/lead/capacity.cpp
+++ b/src/lead/capacity.cpp
@@ -12,20 +12,60 @@
 constexpr Duration kDeleteAgain = std::chrono::seconds(10);
 // Work that waits for less than this may yet fit where it was sent.
 constexpr Duration kPatience = std::chrono::milliseconds(1500);
-constexpr double kSlowBoot = 2.0;    // beyond so many boot times a machine isn't counted on
-constexpr double kNeverBoots = 6.0;  // beyond so many it's deleted
+// In usual boot times: beyond so many a machine isn't counted on.
+constexpr double kSlowBoot = 2.0;
+// The same: beyond so many it's deleted, if the machines that came up lately took no longer than usual. Each
+// one that is given up makes the next of its type be waited for longer, else none would come up while all are
+// slow.
+constexpr double kLeastPatience = 3.0;
+constexpr double kMostPatience = 12.0;
+constexpr double kMorePatience = 1.5;
+constexpr double kLessPatience = 0.8;
+// Of the longest seen lately, so much is waited for.
+constexpr double kLongerThanSeen = 2.0;
+constexpr double kUnknownBootSeconds = 60;
+constexpr double kLeastCpus = 0.01;  // that a task is reckoned with
+// A list may be older than it should be by so many times the usual lag.
+constexpr int kListLags = 2;
 }  // namespace
 
 Capacity::Capacity(CapacityParams params, std::string prefix) : params_(params), prefix_(std::move(prefix)) {}
 
+void Capacity::on_takeover(Instant now) {
+  list_complete_ = false;
+  list_complete_at_ = now + params_.list_lag * kListLags;
+}
+
+double Capacity::usual_boot_s(const MachineType& type) const {
+  auto t = catalogue_ ? catalogue_->find(type) : wire::Catalogue::const_iterator{};
+  return !catalogue_ || t == catalogue_->end() ? kUnknownBootSeconds : t->second.boot_s;
+}
+
+bool Capacity::is_late(const Coming& c, Instant now) const {
+  return to_seconds(now - c.rented) > usual_boot_s(c.kind.type) * kSlowBoot;
+}
+
+bool Capacity::is_given_up(const wire::ListedMachine& m) const {
+  auto patience = patience_.find(m.type);
+  double times = patience == patience_.end() ? kLeastPatience : patience->second;
+  return m.state == wire::MachineState::kBooting && m.age_s > usual_boot_s(m.type) * times;
+}
+
+void Capacity::on_up(const wire::ListedMachine& m) {
+  auto& patience = patience_.try_emplace(m.type, kLeastPatience).first->second;
+  double seen = m.age_s / usual_boot_s(m.type) * kLongerThanSeen;
+  patience = std::clamp(std::max(seen, patience * kLessPatience), kLeastPatience, kMostPatience);
+}
+
 void Capacity::on_list(std::vector<wire::ListedMachine> machines, Instant now) {
+  if (now >= list_complete_at_) list_complete_ = true;
   listed_.clear();
   for (auto& m : machines) {
     if (m.state == wire::MachineState::kBooting) {
       auto rented = now - from_seconds(m.age_s);
       coming_[m.name] = {{m.type, m.zone, m.spot}, rented};
-    } else {
-      coming_.erase(m.name);
+    } else if (coming_.erase(m.name) > 0 && m.state == wire::MachineState::kRunning) {
+      on_up(m);
     }
     auto name = m.name;
     listed_[std::move(name)] = std::move(m);
@@ -38,19 +78,29 @@
   std::erase_if(deleted_, [&](const auto& d) { return now - d.second > kDeleteAgain; });
 }
 
-std::uint32_t Capacity::coming_room(const wire::Shape& s, Instant now) const {
-  std::uint32_t n = 0;
+Capacity::ComingRoom Capacity::coming_room(const wire::Shape& s, Instant now) const {
+  ComingRoom room;
   for (const auto& [name, c] : coming_) {
     auto t = catalogue_->find(c.kind.type);
     if (t == catalogue_->end() || !part::allowed(s, c.kind.type, c.kind.zone, c.kind.spot)) continue;
-    if (to_seconds(now - c.rented) > t->second.boot_s * kSlowBoot) continue;
-    n += std::min(part::fits(t->second.total, s.each), params_.task_cap);
+    auto n = std::min(part::fits(t->second.total, s.each), params_.task_cap);
+    (is_late(c, now) ? room.late : room.on_time) += n;
   }
-  return n;
+  return room;
+}
+
+// What is late is ordered anew, but once only: while nothing comes up, twice of what is needed is on order at
+// most.
+double Capacity::lack_of_room(const wire::Shape& s, double ahead, Instant now) const {
+  double each = std::max(s.each.cpus, kLeastCpus);
+  auto coming = coming_room(s, now);
+  double needed = s.wanted + ahead / each;
+  double counted = coming.on_time + std::max(0.0, coming.late - needed);
+  return s.wanted - std::max(0.0, counted - ahead / each);
 }
 
 std::optional<wire::RentRequest> Capacity::rent(const std::vector<Demand>& demand, Instant now) {
-  if (!catalogue_ || sent_ || now < again_) return std::nullopt;
+  if (!catalogue_ || sent_ || now < again_ || !list_complete_) return std::nullopt;
   if (under_way_) {
     sent_ = true;
     return under_way_;
@@ -59,9 +109,8 @@
   double coming_used = 0;
   for (const auto& d : demand) {
     if (d.waited < kPatience || d.shape.wanted == 0) continue;
-    double each = std::max(d.shape.each.cpus, 0.01);
-    double coming = coming_room(d.shape, now) - coming_used / each;
-    double lack = d.shape.wanted - std::max(0.0, coming);
+    double each = std::max(d.shape.each.cpus, kLeastCpus);
+    double lack = lack_of_room(d.shape, coming_used, now);
     coming_used += d.shape.wanted * each;
     if (lack <= 0) continue;
     struct Candidate {
@@ -131,10 +180,14 @@
   if (!catalogue_) return out;
   for (const auto& [name, m] : listed_) {
     if (deleted_.contains(name) || out.size() >= wire::kMaxDelete) continue;
-    auto t = catalogue_->find(m.type);
-    double boot = t == catalogue_->end() ? 60 : t->second.boot_s;
-    bool never = m.state == wire::MachineState::kBooting && m.age_s > boot * kNeverBoots;
+    bool never = is_given_up(m);
     if (m.state != wire::MachineState::kFailed && !never) continue;
+    if (never) {
+      auto& patience = patience_.try_emplace(m.type, kLeastPatience).first->second;
+      patience = std::min(patience * kMorePatience, kMostPatience);
+      // Rather another type or zone first.
+      refused_[{m.type, m.zone, m.spot}] = now;
+    }
     spdlog::info("{}: {}, to be deleted", name.value(), never ? "never came up" : "failed");
     deleted_[name] = now;
     coming_.erase(name);
--- a/src/lead/capacity.h
+++ b/src/lead/capacity.h
@@ -25,6 +25,9 @@
   Capacity(CapacityParams params, std::string prefix);
 
   void set_catalogue(std::shared_ptr<const wire::Catalogue> c) { catalogue_ = std::move(c); }
+  // An earlier leader may have ordered machines: nothing is rented before a list shows them, or shows that
+  // there are none.
+  void on_takeover(Instant now);
   void on_list(std::vector<wire::ListedMachine> machines, Instant now);
 
   // The next request to send, if any. One is under way at a time; it is repeated under its name until it's
@@ -52,13 +55,31 @@
     Kind kind;
     Instant rented;
   };
-  std::uint32_t coming_room(const wire::Shape& s, Instant now) const;
+  // Room on machines that are starting.
+  struct ComingRoom {
+    double on_time = 0;
+    double late = 0;  // they take far longer than is usual
+  };
+  ComingRoom coming_room(const wire::Shape& s, Instant now) const;
+  // How many of the shape's tasks no room is coming for. `ahead`: CPUs of it that others need.
+  double lack_of_room(const wire::Shape& s, double ahead, Instant now) const;
+  // Its usual time to start, in seconds.
+  double usual_boot_s(const MachineType& type) const;
+  bool is_late(const Coming& c, Instant now) const;
+  // It has been starting for longer than any machine of its type lately; it's taken never to come up.
+  bool is_given_up(const wire::ListedMachine& m) const;
+  void on_up(const wire::ListedMachine& m);
 
   CapacityParams params_;
   std::string prefix_;
   std::shared_ptr<const wire::Catalogue> catalogue_;
   std::map<MachineName, wire::ListedMachine> listed_;
   std::map<MachineName, Coming> coming_;  // rented, not yet up
+  // For how many usual times a machine of the type is waited for, by what was seen lately; see is_given_up.
+  std::map<MachineType, double> patience_;
+  // Until then, and until there was a list since, machines of an earlier leader may be missing in it.
+  Instant list_complete_at_{};
+  bool list_complete_ = true;
   std::map<Kind, Instant> refused_;
   std::map<MachineName, Instant> deleted_;
   std::optional<wire::RentRequest> under_way_;
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -10,6 +10,7 @@
 #include "cloud/client.h"
 #include "config/policy.h"
 #include "config/settings.h"
+#include "node/stand_still.h"
 #include "part/parting.h"
 #include "store/mirror.h"
 
@@ -39,6 +40,11 @@
   std::shared_ptr<cloud::CloudClient> cloud;
   std::shared_ptr<const wire::Catalogue> catalogue;
 
+  StandStill stand_still;
+
+  // The view shows the roles as they were after this process last stood still. What isn't conditional on a
+  // role's version, as transactions are, needs that: rentals, deletions.
+  bool roles_read_since_waking() const { return mirror->as_of() > stand_still.over(); }
   const store::View& view() const { return mirror->view(); }
   Instant now() const { return clock.now(); }
 };
--- a/src/node/leader_duty.cpp
+++ b/src/node/leader_duty.cpp
@@ -62,6 +62,7 @@
                            from_seconds(ctx_.settings.list_lag_s), ctx_.policy.task_cap},
       "t" + std::to_string(term.value()) + "-");
   capacity_->set_catalogue(ctx_.catalogue);
+  if (term > Term(1)) capacity_->on_takeover(ctx_.now());
   lead_->on_terms(terms());
   for (const auto& [part, s] : summaries_) lead_->on_summary(s, ctx_.now());
   for (const auto& [id, job] : ctx_.view().jobs()) show(id);
@@ -162,6 +163,7 @@
 }
 
 void LeaderDuty::pump() {
+  ctx_.stand_still.observe(ctx_.now());
   if (!lead_) return;
   read_all();
   rounds();
@@ -279,7 +281,7 @@
 }
 
 void LeaderDuty::rent() {
-  if (!lead_ || !still_leader()) return;
+  if (!lead_ || !still_leader() || !ctx_.roles_read_since_waking()) return;
   auto now = ctx_.now();
   if (auto r = capacity_->rent(lead_->demand(now), now)) {
     ctx_.cloud->rent(*r, [this, req = *r, term = term_](cloud::CloudClient::RentOutcome o,
@@ -300,7 +302,8 @@
 }
 
 void LeaderDuty::capacity() {
-  if (!lead_ || !still_leader()) return;
+  ctx_.stand_still.observe(ctx_.now());
+  if (!lead_ || !still_leader() || !ctx_.roles_read_since_waking()) return;
   rent();
   auto now = ctx_.now();
   if (auto dead = capacity_->dead(now); !dead.empty()) {
--- a/src/node/part_records.cpp
+++ b/src/node/part_records.cpp
@@ -121,7 +121,9 @@
   });
 }
 
+// After the process has stood still another may own the part, and use what seems to be idle here.
 void WorkersDuty::remove_machines(PartId id, Owned& o) {
+  if (!ctx_.roles_read_since_waking()) return;
   auto names = o.part->take_deletions(ctx_.now());
   if (names.empty()) return;
   auto term = o.part->term();
--- a/src/node/roles.cpp
+++ b/src/node/roles.cpp
@@ -97,11 +97,19 @@
 }
 
 void RolesDuty::on_view() {
+  ctx_.stand_still.observe(ctx_.now());
   if (!ctx_.mirror->ready()) return;
+  // What was seen before it stood still, a role vacant or a home node well, may be over.
+  if (!ctx_.roles_read_since_waking()) return forget_waits();
   for (auto& [part, s] : parts_) check(s, ctx_.view().part_role(part), part);
   check(leader_, ctx_.view().leader(), std::nullopt);
 }
 
+void RolesDuty::forget_waits() {
+  for (auto& [part, s] : parts_) s.vacant_since = s.home_since = std::nullopt;
+  leader_.vacant_since.reset();
+}
+
 void RolesDuty::lose(RoleState& s, std::optional<PartId> part) {
   s.held.reset();
   if (part) {
--- a/src/node/roles.h
+++ b/src/node/roles.h
@@ -40,6 +40,7 @@
   void claim(RoleState& s, const store::Versioned<store::Role>& role, std::optional<PartId> part);
   void hand_back(RoleState& s, const store::Versioned<store::Role>& role, PartId part);
   void lose(RoleState& s, std::optional<PartId> part);
+  void forget_waits();
   std::size_t rank(std::optional<PartId> part) const;
 
   Context& ctx_;
--- /dev/null
+++ b/src/node/stand_still.h
@@ -0,0 +1,25 @@
+// Notices that the process has stood still while its clocks ran on: frozen, or starved of processor time.
+#pragma once
+
+#include "base/types.h"
+
+namespace beaconsill::node {
+
+// Duties that wake up every few hundred milliseconds call `observe` first of all. What a controller knew
+// before it stood still gives it no right afterwards: another may have taken its roles meanwhile. And that it
+// heard nobody says nothing of others.
+class StandStill {
+ public:
+  void observe(Instant now) {
+    if (observed_ != Instant{} && now - observed_ > kLongestGap) over_ = now;
+    observed_ = now;
+  }
+  // When it stood still last, or the epoch. A right holds only by what was read later than that.
+  Instant over() const { return over_; }
+
+ private:
+  static constexpr Duration kLongestGap = std::chrono::seconds(1);
+  Instant observed_{}, over_{};
+};
+
+}  // namespace beaconsill::node
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -6,8 +6,6 @@
 namespace beaconsill::node {
 namespace {
 constexpr Duration kTick = std::chrono::milliseconds(100);
-// This duty's ticks are never that far apart, unless the whole process stood still.
-constexpr Duration kStoodStill = std::chrono::seconds(1);
 // What comes within so short a time is dealt with in one go: dozens of reports and answers come each second.
 constexpr Duration kGatherEvents = std::chrono::milliseconds(10);
 constexpr Duration kCommandTimeout = std::chrono::seconds(2);
@@ -128,9 +126,11 @@
 // What can wait for a moment.
 void WorkersDuty::tick() {
   auto now = ctx_.now();
-  if (now - ticked_ > kStoodStill)
+  ctx_.stand_still.observe(now);
+  if (ctx_.stand_still.over() != woke_) {
+    woke_ = ctx_.stand_still.over();
     for (auto& [id, o] : parts_) o.part->on_stood_still(now);
-  ticked_ = now;
+  }
   pump();
   for (auto& [id, o] : parts_) {
     tell_leader(id, o);
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -88,7 +88,7 @@
   std::map<MachineName, Channel> channels_;
   std::size_t max_channels_;
   std::size_t max_relayed_;  // each holds the connection that it came by
-  Instant ticked_{};
+  Instant woke_{};           // the last stand-still that the parts know of
   struct Pending {
     net::HttpServer::Reply reply;
     PartId part;
--- a/tests/lead_capacity_test.cpp
+++ b/tests/lead_capacity_test.cpp
@@ -92,5 +92,115 @@
   EXPECT_TRUE(c.dead(at(1)).empty());
 }
 
+using S = wire::MachineState;
+
+wire::ListedMachine listed(const std::string& name, S state, double age_s, const char* type = "small",
+                           const char* zone = "a") {
+  return {MachineName(name), "", MachineType(type), Zone(zone), false, state, age_s};
+}
+
+// Orders what is asked for, and says how many machines were ordered.
+std::uint32_t order(Capacity& c, std::uint32_t tasks, double t) {
+  static int names = 0;
+  std::uint32_t ordered = 0;
+  while (auto r = c.rent(demand(tasks), at(t))) {
+    std::vector<MachineName> machines;
+    for (std::uint32_t i = 0; i < r->count; ++i) machines.emplace_back("new-" + std::to_string(++names));
+    c.on_rented(*r, machines, at(t));
+    ordered += r->count;
+  }
+  return ordered;
+}
+
+Capacity capacity() {
+  Capacity c({std::chrono::seconds(60), std::chrono::seconds(20), std::chrono::seconds(3), 64}, "t7-");
+  c.set_catalogue(catalogue());
+  return c;
+}
+
+// A new leader knows what is on order from a list alone, and the list lags.
+TEST(Capacity, ANewLeaderOrdersNothingAnewThatIsOnOrder) {
+  auto c = capacity();
+  c.on_takeover(at(0));
+  EXPECT_EQ(order(c, 8, 0), 0u);
+  c.on_list({}, at(2));  // as it was before the last order
+  EXPECT_EQ(order(c, 8, 2), 0u);
+  EXPECT_EQ(order(c, 8, 20), 0u);  // no list since then
+  c.on_list({listed("h1", S::kBooting, 9)}, at(20));
+  EXPECT_EQ(order(c, 8, 20), 1u);  // four of the eight fit on what is coming
+  EXPECT_EQ(order(c, 8, 21), 0u);
+}
+
+// Nothing comes up: what is late is ordered anew, but never more than twice of what is needed is on order.
+TEST(Capacity, OrdersStayBoundedWhileNothingComesUp) {
+  auto c = capacity();
+  std::map<std::string, std::pair<double, wire::ListedMachine>> cloud;
+  int names = 0;
+  std::size_t most = 0;
+  for (double t = 0; t < 1200; t += 1) {
+    while (auto r = c.rent(demand(40), at(t))) {
+      std::vector<MachineName> machines;
+      for (std::uint32_t i = 0; i < r->count; ++i) {
+        auto name = "h" + std::to_string(++names);
+        machines.emplace_back(name);
+        cloud[name] = {t, listed(name, S::kBooting, 0, r->type.value().c_str(), r->zone.value().c_str())};
+        cloud[name].second.spot = r->spot;
+      }
+      c.on_rented(*r, machines, at(t));
+    }
+    std::vector<wire::ListedMachine> list;
+    for (auto& [name, m] : cloud) {
+      m.second.age_s = t - m.first;
+      list.push_back(m.second);
+    }
+    c.on_list(list, at(t));
+    for (auto& name : c.dead(at(t))) cloud.erase(name.value());
+    most = std::max(most, cloud.size());
+  }
+  EXPECT_GE(most, 10u);
+  EXPECT_LE(most, 20u);
+  EXPECT_FALSE(cloud.empty());
+}
+
+// How long a machine is waited for follows what was seen lately, or none would come up while all are slow.
+TEST(Capacity, MachinesAreWaitedForByWhatWasSeenLately) {
+  struct Case {
+    double booted_s;  // that others took lately; 0: none did
+    int given_up;     // before
+    double age_s;
+    bool waited_for;
+  };
+  for (const auto& x :
+       {Case{0, 0, 55, true}, Case{0, 0, 65, false}, Case{60, 0, 115, true}, Case{60, 0, 125, false},
+        Case{2, 0, 65, false}, Case{0, 1, 85, true}, Case{0, 10, 235, true}, Case{0, 10, 245, false}}) {
+    auto c = capacity();
+    double t = 0;
+    if (x.booted_s > 0) {
+      c.on_list({listed("h0", S::kBooting, 1)}, at(0));
+      c.on_list({listed("h0", S::kRunning, x.booted_s)}, at(x.booted_s));
+      t = x.booted_s;
+    }
+    for (int i = 0; i < x.given_up; ++i) {
+      c.on_list({listed("lost" + std::to_string(i), S::kBooting, 1000)}, at(t));
+      EXPECT_EQ(c.dead(at(t)).size(), 1u);
+    }
+    c.on_list({listed("h1", S::kBooting, x.age_s)}, at(t));
+    EXPECT_EQ(c.dead(at(t)).empty(), x.waited_for) << x.booted_s << ' ' << x.given_up << ' ' << x.age_s;
+  }
+}
+
+TEST(Capacity, TheNeedGoesElsewhereThanWhereMachinesNeverCameUp) {
+  auto c = capacity();
+  auto first = c.rent(demand(4), at(0));
+  ASSERT_TRUE(first);
+  c.on_rented(*first, {MachineName("h1")}, at(0));
+  c.on_list({listed("h1", S::kBooting, 70, first->type.value().c_str(), first->zone.value().c_str())},
+            at(70));
+  EXPECT_EQ(c.dead(at(70)).size(), 1u);
+  auto next = c.rent(demand(4), at(71));
+  ASSERT_TRUE(next);
+  EXPECT_NE(std::tie(next->type, next->zone), std::tie(first->type, first->zone));
+}
+
 }  // namespace
 }  // namespace beaconsill::lead
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -550,5 +550,18 @@
   w.run_until([&] { return w.bearing(1, "run-8") == "done"; }, "the new job runs");
 }
 
+TEST(StandStill, IsNoticedByAGapBetweenObservations) {
+  struct Case {
+    std::vector<double> observed;
+    double over;  // 0: never
+  };
+  for (const auto& c : {Case{{5}, 0}, Case{{5, 5.1, 5.9}, 0}, Case{{5, 6.2}, 6.2},
+                        Case{{5, 25, 25.1, 25.5}, 25}, Case{{5, 10, 11, 30, 30.4}, 30}}) {
+    node::StandStill s;
+    for (double t : c.observed) s.observe(Instant{} + from_seconds(t));
+    EXPECT_EQ(s.over(), Instant{} + from_seconds(c.over)) << c.observed.back();
+  }
+}
+
 }  // namespace
 }  // namespace beaconsill
--- a/tests/sim_troubles_test.cpp
+++ b/tests/sim_troubles_test.cpp
@@ -33,6 +33,7 @@
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     Options o;
     o.seed = seed;
+    o.operations = true;
     for (const auto& line : World(o).run().schedule)
       for (int k = 0; k < kTroubleKinds; ++k)
         if (line.find(std::string(" ") + to_string(static_cast<TroubleKind>(k)) + " for") !=
