Shares follow who is alive; sizes of the settings are tried again after a refusal

Change: node::share_of_limit by the controllers that are alive and whether there is a leader; SizesInForce tries the sizes of the settings again after 1 to 10 minutes.

Not measured yet.

--- a/src/node/context.h
+++ b/src/node/context.h
@@ -10,17 +10,13 @@
 #include "cloud/client.h"
 #include "config/policy.h"
 #include "config/settings.h"
+#include "node/shares.h"
 #include "node/stand_still.h"
 #include "part/parting.h"
 #include "store/mirror.h"
 
 namespace beaconsill::node {
 
-// Of the state service's limits, what the leader takes; the other controllers share the rest. It writes most,
-// but all read much the same.
-constexpr double kLeaderShareOfRequests = 0.4;
-constexpr double kLeaderShareOfChanges = 0.6;
-
 struct Context {
   Context(asio::io_context& event_loop, const Clock& node_clock, config::Settings node_settings,
           const config::Policy& node_policy)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,5 +1,7 @@
 #include "node/node.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "node/sockets.h"
 
@@ -195,13 +197,20 @@
   }
 }
 
-// The limits of state service and cloud hold for all nodes together.
 void Node::adjust_shares() {
-  auto n = static_cast<double>(ctx_.settings.controllers());
-  if (n < 2) return;
-  auto share = [&](double leader) { return leader_->leading() ? leader : (1 - leader) / (n - 1); };
-  ctx_.store->set_shares(share(std::max(kLeaderShareOfRequests, 1 / n)), share(kLeaderShareOfChanges));
-  ctx_.cloud->set_rate(ctx_.settings.cloud_rps * share(0.5));
+  const auto& nodes = ctx_.parting.nodes();
+  auto alive = [&](const NodeName& n) { return n == ctx_.settings.node || ctx_.view().alive(n); };
+  Sharers s;
+  s.alive = static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), alive));
+  s.leading = leader_->leading();
+  const auto& leader = ctx_.view().leader();
+  s.has_leader = leader.exists() && ctx_.view().alive(leader.value.node);
+  // A view that isn't complete shows fewer controllers than there are.
+  if (!ctx_.mirror->ready()) s = {nodes.size(), false, true};
+  ctx_.store->set_shares(
+      share_of_limit(s, std::max(kLeaderShareOfRequests, 1 / static_cast<double>(s.alive))),
+      share_of_limit(s, kLeaderShareOfChanges));
+  ctx_.cloud->set_rate(ctx_.settings.cloud_rps * share_of_limit(s, kLeaderShareOfCloud));
 }
 
 }  // namespace beaconsill::node
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -72,15 +72,26 @@
   return true;
 }
 
-void SizesInForce::on_refused(const wire::Txn& t) {
-  if (t.writes.size() > 1) {
-    txn_ops_ = std::min(txn_ops_, t.writes.size() / 2);
-    return;
-  }
+void SizesInForce::lower(std::size_t& size, std::size_t to, Instant now) {
+  if (to >= size) return;
+  size = to;
+  if (now < try_again_) return;
+  patience_ = std::clamp(2 * patience_, kFirstPatience, kMostPatience);
+  try_again_ = now + patience_;
+}
+
+void SizesInForce::on_time(Instant now) {
+  if (now < try_again_) return;
+  txn_ops_ = most_ops_;
+  value_bytes_ = most_value_bytes_;
+}
+
+void SizesInForce::on_refused(const wire::Txn& t, Instant now) {
+  if (t.writes.size() > 1) return lower(txn_ops_, t.writes.size() / 2, now);
   if (t.writes.empty() || !t.writes[0].value) return;
   auto bytes = wire::dump(*t.writes[0].value).size();
   if (bytes <= kLeastValue || bytes > value_bytes_) return;
-  value_bytes_ = std::max(kLeastValue, bytes / 2);
+  lower(value_bytes_, std::max(kLeastValue, bytes / 2), now);
   // It was this value, not the number of changes, that the larger ones were refused for.
   txn_ops_ = most_ops_;
 }
@@ -147,7 +158,8 @@
     } else {
       spdlog::error("state service: a transaction was answered {}: {}", r.status, r.body.substr(0, 200));
       out.outcome = Outcome::kBad;
-      if (auto me = weak.lock(); me && bare && too_large(r.status)) me->sizes_.on_refused(t);
+      if (auto me = weak.lock(); me && bare && too_large(r.status))
+        me->sizes_.on_refused(t, me->clock_.now());
     }
     done(out);
   };
@@ -277,6 +289,7 @@
     return;
   }
   if (limits_.on_time(now)) set_rates(now);
+  sizes_.on_time(now);
   double delay = to_seconds(now - sent);
   if (!delay_s_) {
     delay_s_ = delay;
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -49,19 +49,25 @@
 };
 
 // The sizes that the service takes: those of the settings, less once it has refused a transaction for its
-// size.
+// size. After a while those of the settings are tried again, ever more rarely: it may have been refused for
+// another reason.
 class SizesInForce {
  public:
   SizesInForce(std::size_t txn_ops, std::size_t value_bytes)
-      : most_ops_(txn_ops), txn_ops_(txn_ops), value_bytes_(value_bytes) {}
+      : most_ops_(txn_ops), txn_ops_(txn_ops), most_value_bytes_(value_bytes), value_bytes_(value_bytes) {}
   std::size_t txn_ops() const { return txn_ops_; }
   std::size_t value_bytes() const { return value_bytes_; }
   // A transaction was answered 400: the next ones are half as large. One with a single change can only be too
   // large by its value.
-  void on_refused(const wire::Txn& t);
+  void on_refused(const wire::Txn& t, Instant now);
+  void on_time(Instant now);
 
  private:
-  std::size_t most_ops_, txn_ops_, value_bytes_;
+  void lower(std::size_t& size, std::size_t to, Instant now);
+
+  std::size_t most_ops_, txn_ops_, most_value_bytes_, value_bytes_;
+  Instant try_again_{};
+  Duration patience_{};
 };
 
 class StoreClient : public TxnSink, public std::enable_shared_from_this<StoreClient> {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -563,5 +563,21 @@
   }
 }
 
+TEST(Shares, AddUpWhoeverIsThere) {
+  struct Case {
+    node::Sharers sharers;
+    double share;
+  };
+  const Case cases[] = {
+      {{3, true, true}, 0.6},  {{3, false, true}, 0.2},     {{3, false, false}, 1.0 / 3},
+      {{2, false, true}, 0.4}, {{2, false, false}, 0.5},    {{1, false, false}, 1},
+      {{1, true, true}, 1},    {{1, false, true}, 1},       {{3, true, false}, 0.6},
+      {{2, true, true}, 0.6},  {{5, false, true}, 0.4 / 4},
+  };
+  for (const auto& c : cases)
+    EXPECT_NEAR(node::share_of_limit(c.sharers, 0.6), c.share, 1e-9)
+        << c.sharers.alive << c.sharers.leading << c.sharers.has_leader;
+}
+
 }  // namespace
 }  // namespace beaconsill
