--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -1,6 +1,6 @@
 // Seeded schedules of loss, delay, repetition, crash, hang, deafness and late delivery. `--seeds N` plays
-// more of them, `--first S` others, `--pipelines N` with jobs that await others; a seed that fails plays the
-// same way again.
+// more of them, `--first S` others, `--pipelines N` with jobs that await others, `--operations` with what the
+// operators met; a seed that fails plays the same way again.
 #include <gtest/gtest.h>
 
 #include <CLI/CLI.hpp>
@@ -14,6 +14,7 @@
 int seeds = 12;
 std::uint64_t first = 1;
 int pipelines = 0;
+bool operations = false;
 
 TEST(Simulation, TheRulesHoldAndEveryJobIsServed) {
   int takeovers = 0;
@@ -22,6 +23,7 @@
     Options o;
     o.seed = first + static_cast<std::uint64_t>(i);
     o.pipelines = pipelines;
+    o.operations = operations;
     auto r = World(o).run();
     EXPECT_TRUE(r.broken.empty()) << "seed " << o.seed << ": " << r.first;
     EXPECT_GT(r.started, 50) << "seed " << o.seed;
@@ -109,6 +111,8 @@
   app.add_option("--seeds", beaconsill::sim::seeds, "how many schedules")->check(CLI::PositiveNumber);
   app.add_option("--first", beaconsill::sim::first, "the first seed");
   app.add_option("--pipelines", beaconsill::sim::pipelines, "pipelines in each schedule");
+  app.add_flag("--operations", beaconsill::sim::operations,
+               "with what the operators met, see sim/troubles.h");
   CLI11_PARSE(app, argc, argv);
   spdlog::set_level(spdlog::level::off);
   return RUN_ALL_TESTS();
