--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -320,7 +320,7 @@
 // What the users have submitted, as the workers fetch it, and the results that the platform keeps.
 struct Jobs {
   std::map<std::string, Json> specs;           // by job id
-  std::map<std::string, double> run_s;         // true run time of each task; services have none
+  std::map<std::string, double> run_s;         // true run time by job id, or by task id; services have none
   std::set<std::string> done;                  // task ids
 };
 
@@ -499,7 +499,8 @@
     ledger_.stays.push_back({task.id, task.attempt, name_, loop_.now(), {}});
     log("running " + label(task));
     if (jobs_.done.contains(task.id)) return end(task, "done");
-    auto run_s = jobs_.run_s.find(job_of(task.id));
+    auto run_s = jobs_.run_s.find(task.id);
+    if (run_s == jobs_.run_s.end()) run_s = jobs_.run_s.find(job_of(task.id));
     if (run_s != jobs_.run_s.end())
       later(task, run_s->second, [this](Task& complete) {
         jobs_.done.insert(complete.id);
@@ -653,6 +654,7 @@
 
 struct CloudOptions {
   double list_lag_s = 3;
+  double boot_factor = 1;  // of the type's usual boot time
   std::map<std::string, int> capacity;  // machines that may still be rented, by "type/zone/spot|ordinary"
 };
 
@@ -660,12 +662,20 @@
  public:
   using Boot = std::function<std::unique_ptr<Worker>(const std::string& name, const MachineType&,
                                                      const std::string& zone, bool spot)>;
-  Cloud(Loop& loop, std::vector<MachineType> types, CloudOptions options, Boot boot)
-      : loop_(loop), types_(std::move(types)), options_(std::move(options)), boot_(std::move(boot)) {
-    server_ = serve(loop.io, [this](Request request, HttpServer::Reply reply) { reply(handle(request)); });
+  // One server per controller, with the same machines, so that the record shows which controller sent a request.
+  Cloud(Loop& loop, std::vector<std::string> controllers, std::vector<MachineType> types, CloudOptions options, Boot boot)
+      : loop_(loop),
+        controllers_(std::move(controllers)),
+        types_(std::move(types)),
+        options_(std::move(options)),
+        boot_(std::move(boot)) {
+    for (std::size_t i = 0; i < controllers_.size(); ++i)
+      servers_.push_back(serve(loop.io, [this, i](Request request, HttpServer::Reply reply) {
+        reply(handle(request, controllers_[i]));
+      }));
     tick();
   }
-  Tcp::endpoint address() const { return server_->local(); }
+  Tcp::endpoint address(std::size_t controller) const { return servers_[controller]->local(); }
   // Adds a machine that is up already.
   Worker& add(const std::string& type, const std::string& zone, bool spot) {
     auto& machine = create(type_of(type), zone, spot);
@@ -674,7 +684,7 @@
   }
   struct Rental {
     double at = 0;
-    std::string charter;
+    std::string controller, charter;
     int count = 0;
   };
   std::vector<Rental> rentals;  // those that were carried out
@@ -690,7 +700,7 @@
   }
   void stop() {
     for (auto* worker : workers()) worker->stop();
-    server_->stop();
+    for (auto& server : servers_) server->stop();
   }
 
  private:
@@ -733,12 +743,12 @@
       history_.pop_front();
     loop_.after(0.25, [this] { tick(); });
   }
-  Response handle(const Request& request) {
+  Response handle(const Request& request, const std::string& controller) {
     try {
       if (request.path == "/catalog") return catalog();
       if (request.path == "/machines" && request.method == "GET") return list(parse_query(request.query));
-      if (request.path == "/machines") return rent(Json::parse(request.body));
-      if (request.path == "/machines/delete") return remove(Json::parse(request.body));
+      if (request.path == "/machines") return rent(Json::parse(request.body), controller);
+      if (request.path == "/machines/delete") return remove(Json::parse(request.body), controller);
     } catch (const std::exception&) {
     }
     return {400, "{}"};
@@ -765,7 +775,7 @@
     }
     return {200, Json{{"beacons", beacons}, {"more", more}}.dump()};
   }
-  Response rent(const Json& json) {
+  Response rent(const Json& json, const std::string& controller) {
     const auto charter = json.at("charter").get<std::string>();
     if (auto known = charters_.find(charter); known != charters_.end()) return {200, known->second};
     const auto type = json.at("hull").get<std::string>();
@@ -773,15 +783,15 @@
     const bool spot = json.at("driftwood").get<bool>();
     auto& free = options_.capacity[type + '/' + zone + (spot ? "/spot" : "/ordinary")];
     const int count = std::min(free, json.at("count").get<int>());
-    loop_.log("cloud: rental " + charter + " of " + std::to_string(json.at("count").get<int>()) + ' ' + type + " in " +
-              zone + ": " + std::to_string(count));
+    loop_.log("cloud: " + controller + " asks for " + charter + ", " + std::to_string(json.at("count").get<int>()) + ' ' + type + " in " +
+              zone + "; rented: " + std::to_string(count));
     if (count == 0) return {503, R"({"error":"no capacity"})"};
     free -= count;
     Json names = Json::array();
     for (int i = 0; i < count; ++i) {
       auto& machine = create(type_of(type), zone, spot);
       names.push_back(machine.name);
-      loop_.after(type_of(type).boot_s, [this, name = machine.name] {
+      loop_.after(type_of(type).boot_s * options_.boot_factor, [this, name = machine.name] {
         auto it = machines_.find(name);
         if (it == machines_.end()) return;
         auto& up = it->second;
@@ -789,14 +799,14 @@
         loop_.log("cloud: " + name + " is up");
       });
     }
-    rentals.push_back({loop_.now(), charter, count});
+    rentals.push_back({loop_.now(), controller, charter, count});
     return {200, charters_[charter] = Json{{"beacons", names}}.dump()};
   }
-  Response remove(const Json& json) {
+  Response remove(const Json& json, const std::string& controller) {
     for (auto& name : json.at("beacons")) {
       auto it = machines_.find(name.get<std::string>());
       if (it == machines_.end()) continue;
-      loop_.log("cloud: deletion of " + it->first);
+      loop_.log("cloud: " + controller + " deletes " + it->first);
       if (it->second.worker) {
         it->second.worker->stop();
         gone_.push_back(std::move(it->second.worker));
@@ -807,10 +817,11 @@
   }
 
   Loop& loop_;
+  std::vector<std::string> controllers_;
   std::vector<MachineType> types_;
   CloudOptions options_;
   Boot boot_;
-  std::shared_ptr<HttpServer> server_;
+  std::vector<std::shared_ptr<HttpServer>> servers_;
   std::map<std::string, Machine> machines_;
   std::vector<std::unique_ptr<Worker>> gone_;
   std::map<std::string, std::string> charters_;
@@ -909,7 +920,9 @@
     }
     // The peers' address of controller `to` as controller `from` knows it; a case may put a proxy in between.
     state = std::make_unique<StateStore>(loop, options_.areas.size(), options_.state);
-    cloud = std::make_unique<Cloud>(loop, options_.types, options_.cloud,
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < options_.areas.size(); ++i) names.push_back(node(i));
+    cloud = std::make_unique<Cloud>(loop, names, options_.types, options_.cloud,
                                     [this](const std::string& name, const MachineType& type, const std::string& zone,
                                            bool spot) { return boot(name, type, zone, spot); });
   }
@@ -1066,7 +1079,7 @@
       out << "[[known]]\nnode = " << quoted(node(peer)) << "\narea = " << quoted(options_.areas[peer])
           << "\npeer_addr = " << quoted(text(address)) << '\n';
     }
-    out << "[external]\ncloud = " << quoted(text(cloud->address())) << "\nstate = " << quoted(text(state->address(i)))
+    out << "[external]\ncloud = " << quoted(text(cloud->address(i))) << "\nstate = " << quoted(text(state->address(i)))
         << "\n[cluster]\ninitial_size = " << options_.areas.size() << "\nskew_ms = 5.0\nzones = [";
     for (std::size_t zone = 0; zone < options_.zones.size(); ++zone)
       out << (zone ? ", " : "") << quoted(options_.zones[zone]);
