--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -1,6 +1,7 @@
 // Stand-ins of the state service, the cloud, the workers and the users, and the start and end of the project's
 // controllers as separate processes. All of it runs on loopback and on the real clock, in one thread. The stand-ins
-// follow the protocol page; each case sets the disruption itself.
+// follow the protocol page, but for what no case needs: gangs wait for each other, machines fail, and image fetches share
+// a machine's rate. Each case sets the disruption itself.
 #pragma once
 
 #include <fcntl.h>
@@ -11,6 +12,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdarg>
 #include <cstdio>
@@ -383,8 +385,6 @@
   }
   // While set, the machine reports that the cloud takes it away in so many seconds.
   std::optional<double> recall_s;
-  // If set, called before the handling of each direct request; returns true if it took the request over.
-  std::function<bool(const Request&, const HttpServer::Reply&)> intercept;
 
   Response execute(const Request& request) {
     if (request.path == "/inspect") return {200, body().dump()};
@@ -433,8 +433,7 @@
     return json;
   }
   void on_request(const Request& request, const HttpServer::Reply& reply) {
-    if (stopped_ || (intercept && intercept(request, reply))) return;
-    reply(execute(request));
+    if (!stopped_) reply(execute(request));
   }
   void raise_token(std::uint64_t token) {
     if (token > token_) log("token " + std::to_string(token >> 20) + "." + std::to_string(token & 0xfffff));
@@ -918,7 +917,6 @@
       user_ports_.push_back(std::make_unique<ReservedPort>(loop.io));
       peer_ports_.push_back(std::make_unique<ReservedPort>(loop.io));
     }
-    // The peers' address of controller `to` as controller `from` knows it; a case may put a proxy in between.
     state = std::make_unique<StateStore>(loop, options_.areas.size(), options_.state);
     std::vector<std::string> names;
     for (std::size_t i = 0; i < options_.areas.size(); ++i) names.push_back(node(i));
@@ -945,8 +943,6 @@
   static std::string node(std::size_t i) { return "lantern-" + std::to_string(i); }
   Tcp::endpoint user_address(std::size_t i) const { return user_ports_[i]->endpoint(); }
   Tcp::endpoint peer_address(std::size_t i) const { return peer_ports_[i]->endpoint(); }
-  // If set, gives the address under which controller `from` reaches the peers' port of controller `to`.
-  std::function<Tcp::endpoint(std::size_t from, std::size_t to)> peer_route;
 
   void start_controllers() {
     setenv("LOG_LEVEL", options_.log_level.c_str(), 1);
@@ -1075,9 +1071,8 @@
         << "\nbind = " << quoted(text(user_address(i))) << "\ninternal_addr = " << quoted(text(peer_address(i))) << '\n';
     for (std::size_t peer = 0; peer < options_.areas.size(); ++peer) {
       if (peer == i) continue;
-      const auto address = peer_route ? peer_route(i, peer) : peer_address(peer);
       out << "[[known]]\nnode = " << quoted(node(peer)) << "\narea = " << quoted(options_.areas[peer])
-          << "\npeer_addr = " << quoted(text(address)) << '\n';
+          << "\npeer_addr = " << quoted(text(peer_address(peer))) << '\n';
     }
     out << "[external]\ncloud = " << quoted(text(cloud->address(i))) << "\nstate = " << quoted(text(state->address(i)))
         << "\n[cluster]\ninitial_size = " << options_.areas.size() << "\nskew_ms = 5.0\nzones = [";
