--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -377,6 +377,16 @@
     return static_cast<std::size_t>(
         std::count_if(tasks_.begin(), tasks_.end(), [](auto& entry) { return entry.second.state != "ended"; }));
   }
+  // Whether a task that takes this much fits beside those that have not ended.
+  bool has_room(double cpus, double memory_gb) const {
+    for (auto& [key, task] : tasks_) {
+      if (task.state == "ended") continue;
+      const auto& each = jobs_.specs.at(job_of(key.first));
+      cpus += each["vcpus"].get<double>();
+      memory_gb += each["memoryGb"].get<double>();
+    }
+    return cpus <= type_.cpus && memory_gb <= type_.memory_gb;
+  }
   // Tasks of the job in this state.
   std::size_t count(const std::string& job, const std::string& state) const {
     return static_cast<std::size_t>(std::count_if(tasks_.begin(), tasks_.end(), [&](auto& entry) {
