Log each requested and each sent stop of a task, with its grace and reason

At debug there are now task_stop_requested (with the reason, a typed StopReason) and task_stop_sent (with the grace that was sent).

No behaviour changes.

--- a/src/shard/command_delivery.cpp
+++ b/src/shard/command_delivery.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/log.h"
+
 namespace beaconsill::shard {
 namespace {
 
@@ -49,7 +51,7 @@
   CommandBatch batch{machine.name, machine.address, machine.incarnation, {}, {}};
   for (auto& [key, task] : machine.tasks) {
     if (batch.commands.size() >= kMaxCommands) break;
-    if (auto command = next_command(key, task)) batch.commands.push_back(std::move(*command));
+    if (auto command = next_command(machine, key, task)) batch.commands.push_back(std::move(*command));
   }
   if (batch.commands.empty()) return std::nullopt;
   // Each batch has a new token, so that the worker rejects a copy of an earlier batch that arrives late.
@@ -73,13 +75,16 @@
       now_);
 }
 
-std::optional<protocol::Command> CommandDelivery::next_command(const TaskKey& key, MachineTask& task) const {
+std::optional<protocol::Command> CommandDelivery::next_command(const Machine& machine, const TaskKey& key,
+                                                               MachineTask& task) const {
   if (task.start == Start::kQueued) {
     task.start = Start::kSent;
     return protocol::Command{Op::kStart, key.task, key.attempt, 0};
   }
   if (task.start == Start::kAcknowledged && is_live(task) && task.stop_grace && !task.stop_sent) {
     task.stop_sent = true;
+    spdlog::debug("task_stop_sent shard={} machine={} task={} seconds={:.1f}", state_.id.value(),
+                  machine.name.value(), protocol::task_name(key.task), *task.stop_grace);
     return protocol::Command{Op::kStop, key.task, key.attempt, *task.stop_grace};
   }
   if (!is_live(task) && !task.forget_sent && (task.is_disposable || state_.jobs.is_durable(key.task))) {
--- a/src/shard/command_delivery.h
+++ b/src/shard/command_delivery.h
@@ -45,7 +45,8 @@
  private:
   void drop_cancelled_starts(Machine& machine);
   std::optional<CommandBatch> command_batch(Machine& machine);
-  std::optional<protocol::Command> next_command(const TaskKey& key, MachineTask& task) const;
+  std::optional<protocol::Command> next_command(const Machine& machine, const TaskKey& key,
+                                                MachineTask& task) const;
   CommandBatch probe_batch(Machine& machine);
   void on_executed(Machine& machine, const CommandBatch& batch);
   void on_rejected(Machine& machine, const CommandBatch& batch);
--- a/src/shard/gang_scheduling.cpp
+++ b/src/shard/gang_scheduling.cpp
@@ -45,7 +45,7 @@
   // A running task may still complete, or exit by itself together with the others. A task that still waits or
   // fetches its image would remain for a long time, so it is stopped.
   if (task->second.state == TaskState::kWaiting || task->second.state == TaskState::kFetching)
-    state.stop(*machine, task->second, 0);
+    state.stop(*machine, task->first, task->second, 0, StopReason::kIncompleteGang);
 }
 
 }  // namespace
--- a/src/shard/heartbeat_reconciler.cpp
+++ b/src/shard/heartbeat_reconciler.cpp
@@ -176,7 +176,7 @@
   }
   spdlog::error("duplicate_execution shard={} machine={} task={} other_machine={}", state_.id.value(),
                 machine.name.value(), protocol::task_name(key.task), granted_task->machine.value());
-  state_.stop(machine, task, 0);
+  state_.stop(machine, key, task, 0, StopReason::kDuplicate);
 }
 
 // Whether the recorded placement of a granted task is based on an old heartbeat. A new leader can't tell an
--- a/src/shard/machine.h
+++ b/src/shard/machine.h
@@ -52,6 +52,8 @@
   // Number of the last heartbeat that listed the task, see ShardState::heartbeat_count.
   std::uint64_t last_listed = 0;
 };
+// An element of Machine::tasks.
+using MachineTaskEntry = std::map<TaskKey, MachineTask>::value_type;
 // Returns whether the task has not ended.
 inline bool is_live(const MachineTask& task) {
   return task.state != protocol::TaskState::kEnded;
--- a/src/shard/periodic_checks.cpp
+++ b/src/shard/periodic_checks.cpp
@@ -20,9 +20,10 @@
          task.spec->estimate_s - to_seconds(now - *task.running_since) < seconds;
 }
 
-void stop_or_discard(ShardState& state, Machine& machine, MachineTask& task) {
+void stop_or_discard(ShardState& state, Machine& machine, const TaskKey& key, MachineTask& task,
+                     StopReason reason) {
   if (is_live(task)) {
-    if (task.stop_grace != 0.0) state.stop(machine, task, 0);
+    if (task.stop_grace != 0.0) state.stop(machine, key, task, 0, reason);
   } else if (!task.is_disposable) {
     task.is_disposable = true;
     state.dispatch_queue.push(machine);
@@ -35,7 +36,7 @@
     const auto* job = state.jobs.find(key.task.job);
     if (job && job->terminal_state) {
       machine.may_have_orphans = true;
-      stop_or_discard(state, machine, task);
+      stop_or_discard(state, machine, key, task, StopReason::kJobEnded);
       continue;
     }
     if (job && job->granted_tasks.contains(key.task.index)) continue;
@@ -44,7 +45,7 @@
     if (is_live(task) && !task.stop_grace)
       spdlog::info("orphaned_task_stopped shard={} machine={} task={} reason=not_granted", state.id.value(),
                    machine.name.value(), protocol::task_name(key.task));
-    stop_or_discard(state, machine, task);
+    stop_or_discard(state, machine, key, task, StopReason::kNotGranted);
   }
 }
 
@@ -77,9 +78,10 @@
     for (auto& [key, task] : machine.tasks) {
       if (!is_live(task) || !task.spec || task.stop_grace) continue;
       if (completes_within(task, seconds_left, now)) continue;
-      state.stop(machine, task, task.spec->checkpoint_s > 0 ? task.spec->save_s : 0);
+      state.stop(machine, key, task, grace_to_save(*task.spec), StopReason::kReclaimed);
       // A gang saves its checkpoint only if all of its tasks are stopped within a short time.
-      if (task.spec->kind == JobKind::kGang) state.stop_job(key.task.job, task.spec->save_s);
+      if (task.spec->kind == JobKind::kGang)
+        state.stop_job(key.task.job, task.spec->save_s, StopReason::kReclaimed);
     }
   }
 }
--- a/src/shard/preemption.cpp
+++ b/src/shard/preemption.cpp
@@ -55,24 +55,25 @@
                                                     const protocol::ResourceRequest& request) const {
   Resources idle = machine.total - machine.used();
   if (auto it = reserved_->find(machine.name); it != reserved_->end()) idle -= it->second;
-  std::vector<MachineTask*> preemptible;
-  for (auto& [key, task] : machine.tasks) {
+  std::vector<MachineTaskEntry*> preemptible;
+  for (auto& entry : machine.tasks) {
+    auto& task = entry.second;
     if (!is_preemptible(task, request.priority)) continue;
     if (task.stop_grace) {
       idle += task.spec->each;  // already being stopped
     } else if (task.start == MachineTask::Start::kAcknowledged) {
-      preemptible.push_back(&task);
+      preemptible.push_back(&entry);
     }
   }
   std::sort(preemptible.begin(), preemptible.end(), [this](const auto* left, const auto* right) {
-    return lost_cpu_seconds(*left, now_) < lost_cpu_seconds(*right, now_);
+    return lost_cpu_seconds(left->second, now_) < lost_cpu_seconds(right->second, now_);
   });
   Plan plan{&machine, {}, 0};
-  for (auto* task : preemptible) {
+  for (auto* entry : preemptible) {
     if (tasks_that_fit(idle, request.each) > 0) break;
-    idle += task->spec->each;
-    plan.lost_cpu_seconds += lost_cpu_seconds(*task, now_);
-    plan.victims.push_back(task);
+    idle += entry->second.spec->each;
+    plan.lost_cpu_seconds += lost_cpu_seconds(entry->second, now_);
+    plan.victims.push_back(entry);
   }
   if (tasks_that_fit(idle, request.each) == 0) return std::nullopt;
   return plan;
@@ -88,8 +89,10 @@
     if (plan && (!best || plan->lost_cpu_seconds < best->lost_cpu_seconds)) best = std::move(plan);
   }
   if (!best) return false;
-  for (auto* victim : best->victims)
-    state_.stop(*best->machine, *victim, victim->spec->checkpoint_s > 0 ? victim->spec->save_s : 0);
+  for (auto* victim : best->victims) {
+    auto& [key, stopped] = *victim;
+    state_.stop(*best->machine, key, stopped, grace_to_save(*stopped.spec), StopReason::kPreempted);
+  }
   task.preempt = false;
   task.preemption_target = best->machine->name;
   task.since = now_;
--- a/src/shard/preemption.h
+++ b/src/shard/preemption.h
@@ -27,7 +27,7 @@
   // The tasks that would be stopped on one machine.
   struct Plan {
     Machine* machine = nullptr;
-    std::vector<MachineTask*> victims;
+    std::vector<MachineTaskEntry*> victims;
     double lost_cpu_seconds = 0;
   };
   void collect_reservations();
--- a/src/shard/shard_manager.cpp
+++ b/src/shard/shard_manager.cpp
@@ -132,8 +132,9 @@
     }
     if (is_live(task)) {
       reconciler.adopt(machine, key, task);
-      if (job.terminal_state == state_store::TerminalState::kCancelled) state_.stop(machine, task, 0);
-      if (job.revoked) state_.stop(machine, task, job.record.spec->save_s);
+      if (job.terminal_state == state_store::TerminalState::kCancelled)
+        state_.stop(machine, key, task, 0, StopReason::kJobEnded);
+      if (job.revoked) state_.stop(machine, key, task, job.record.spec->save_s, StopReason::kRevoked);
     } else if (task.cause == protocol::EndCause::kDone) {
       auto* granted_task = state_.jobs.find_task(key.task);
       if (!granted_task || granted_task->is_finished()) return;
--- a/src/shard/shard_state.cpp
+++ b/src/shard/shard_state.cpp
@@ -39,14 +39,18 @@
   machine.type_known = true;
 }
 
-void ShardState::stop(Machine& machine, MachineTask& task, double grace) {
-  task.stop_grace = std::min(task.stop_grace.value_or(grace), grace);
+void ShardState::stop(Machine& machine, const TaskKey& key, MachineTask& task, double grace,
+                      StopReason reason) {
   dispatch_queue.push(machine);
+  if (task.stop_grace && *task.stop_grace <= grace) return;
+  task.stop_grace = grace;
+  spdlog::debug("task_stop_requested shard={} machine={} task={} seconds={:.1f} reason={}", id.value(),
+                machine.name.value(), protocol::task_name(key.task), grace, to_string(reason));
 }
 
-void ShardState::stop_job(const JobId& job, double grace) {
-  locations.for_each_of_job(job, [&](Machine& machine, const TaskKey&, MachineTask& task) {
-    if (is_live(task)) stop(machine, task, grace);
+void ShardState::stop_job(const JobId& job, double grace, StopReason reason) {
+  locations.for_each_of_job(job, [&](Machine& machine, const TaskKey& key, MachineTask& task) {
+    if (is_live(task)) stop(machine, key, task, grace, reason);
   });
 }
 
--- a/src/shard/shard_state.h
+++ b/src/shard/shard_state.h
@@ -13,6 +13,7 @@
 #include "shard/machine.h"
 #include "shard/registry_state.h"
 #include "shard/shard_params.h"
+#include "shard/stop_reason.h"
 #include "shard/task_locations.h"
 
 namespace beaconsill::shard {
@@ -34,9 +35,9 @@
   void apply_catalogue(Machine& machine) const;
 
   // Requests that the task be stopped within `grace` seconds, or sooner if an earlier request said so.
-  void stop(Machine& machine, MachineTask& task, double grace);
+  void stop(Machine& machine, const TaskKey& key, MachineTask& task, double grace, StopReason reason);
   // Requests that all live tasks of the job be stopped within `grace` seconds.
-  void stop_job(const JobId& id, double grace);
+  void stop_job(const JobId& id, double grace, StopReason reason);
   // To be called when the attempt is no longer on its machine. The granted task can then be placed again.
   void requeue(const TaskKey& key, Instant now);
   // Drops and requeues the tasks of the machine for which drops(key, task) returns true.
@@ -79,6 +80,12 @@
   mutable std::uint64_t visited_count = 0;
 };
 
+// Returns the time in seconds that a task of the job gets to save a checkpoint when it is stopped; 0 if its
+// tasks have no checkpoints.
+inline double grace_to_save(const protocol::JobSpec& spec) {
+  return spec.checkpoint_s > 0 ? spec.save_s : 0;
+}
+
 template <class Predicate>
 void ShardState::drop_tasks_if(Machine& machine, Predicate drops, Instant now) {
   bool dropped = false;
