A saving task is stopped at once when its job is cancelled

What callers saw: a job was cancelled while one of its tasks saved a checkpoint, for example because it had been preempted.

Cause: MachineTask recorded only that a stop was sent, not with which grace. The cancellation lowered the requested grace to 0, but the command delivery took the stop for sent. A saving task ends early only by a second stop without grace, and that was never sent.

Fix: the grace that was sent is recorded, and a stop is due whenever the requested one is shorter. This covers every way to a save: preemption, spot notices, revoked grants, a first stop still in flight, and a saving task that is no longer granted to the shard.

--- a/src/shard/command_channel.cpp
+++ b/src/shard/command_channel.cpp
@@ -43,7 +43,8 @@
   machine.suspected_since.reset();
   for (auto& [key, task] : machine.tasks) {
     if (task.start == MachineTask::Start::kSent) task.start = MachineTask::Start::kAcknowledged;
-    task.stop_sent = task.forget_sent = false;
+    task.sent_stop_grace.reset();
+    task.forget_sent = false;
   }
 }
 
--- a/src/shard/command_delivery.cpp
+++ b/src/shard/command_delivery.cpp
@@ -81,8 +81,8 @@
     task.start = Start::kSent;
     return protocol::Command{Op::kStart, key.task, key.attempt, 0};
   }
-  if (task.start == Start::kAcknowledged && is_live(task) && task.stop_grace && !task.stop_sent) {
-    task.stop_sent = true;
+  if (task.start == Start::kAcknowledged && is_stop_due(task)) {
+    task.sent_stop_grace = task.stop_grace;
     spdlog::debug("task_stop_sent shard={} machine={} task={} seconds={:.1f}", state_.id.value(),
                   machine.name.value(), protocol::task_name(key.task), *task.stop_grace);
     return protocol::Command{Op::kStop, key.task, key.attempt, *task.stop_grace};
@@ -134,7 +134,8 @@
     auto task = machine.tasks.find({command.task, command.attempt});
     if (task == machine.tasks.end()) continue;
     if (task->second.start != Start::kSent) {
-      task->second.stop_sent = task->second.forget_sent = false;
+      task->second.sent_stop_grace.reset();
+      task->second.forget_sent = false;
       continue;
     }
     auto key = task->first;
--- a/src/shard/machine.h
+++ b/src/shard/machine.h
@@ -46,7 +46,8 @@
   std::optional<Instant> running_since;
   bool is_proven_stable = false;     // has run long enough to show that its job doesn't fail on every machine
   std::optional<double> stop_grace;  // if set, the task is to be stopped within this many seconds
-  bool stop_sent = false;
+  // Grace in seconds of the last stop command. Reset if the worker rejected the command or may have lost it.
+  std::optional<double> sent_stop_grace;
   bool is_disposable = false;  // ended, and its result is recorded durably or not needed
   bool forget_sent = false;
   // Number of the last heartbeat that listed the task, see ShardState::heartbeat_count.
@@ -58,6 +59,12 @@
 inline bool is_live(const MachineTask& task) {
   return task.state != protocol::TaskState::kEnded;
 }
+// Returns whether a stop command has to be sent: none was sent yet, or the last one allowed more time. A task
+// that saves its checkpoint continues to do so until a second command says that it has no time left.
+inline bool is_stop_due(const MachineTask& task) {
+  if (!is_live(task) || !task.stop_grace) return false;
+  return !task.sent_stop_grace || *task.stop_grace < *task.sent_stop_grace;
+}
 
 // Estimates which images are cached on a machine. Evicts the least recently used image first, as the machine
 // itself does. Sizes are in GB.
--- a/tests/command_channel_test.cpp
+++ b/tests/command_channel_test.cpp
@@ -86,7 +86,8 @@
   };
   task(0).start = Start::kSent;
   task(1).start = Start::kQueued;
-  task(2).stop_sent = task(2).forget_sent = true;
+  task(2).sent_stop_grace = 2;
+  task(2).forget_sent = true;
   DispatchQueue queue;
   begin_fencing(fenced, queue, at(1));
   resolve_in_flight(fenced, queue);
@@ -95,7 +96,7 @@
   EXPECT_FALSE(fenced.probe_at);
   EXPECT_EQ(task(0).start, Start::kAcknowledged);
   EXPECT_EQ(task(1).start, Start::kQueued);
-  EXPECT_FALSE(task(2).stop_sent || task(2).forget_sent);
+  EXPECT_FALSE(task(2).sent_stop_grace || task(2).forget_sent);
 }
 
 }  // namespace
