Simulation: preempted tasks save checkpoints, and a job is cancelled meanwhile

Now a task with checkpoints saves if the stop gives it enough time, and ends early only by a stop without grace, as the protocol says.

--- a/tests/sim/cloud.cpp
+++ b/tests/sim/cloud.cpp
@@ -4,12 +4,12 @@
 
 namespace beaconsill::sim {
 
-void Cloud::add_machine() {
+void Cloud::add_machine(std::optional<Zone> zone) {
   auto number = next_number_++;
   MachineName name("host-" + std::to_string(number));
   auto& machine = ledger_.machines[name];
   machine.name = name;
-  machine.zone = zones()[static_cast<std::size_t>(number) % zones().size()];
+  machine.zone = zone ? *zone : zones()[static_cast<std::size_t>(number) % zones().size()];
   machine.lease_renewed_at = queue_.now();
   machine.controller = number % kControllers;
   on_machine_added_(name);
@@ -23,7 +23,8 @@
   double boot_s = queue_.now() < fast_boot_until_   ? queue_.uniform(0.2, 2)
                   : queue_.now() < slow_boot_until_ ? queue_.uniform(20, 60)
                                                     : queue_.uniform(3, 10);
-  queue_.after(boot_s, [this] { add_machine(); });
+  auto zone = options_.replace_in_zone ? std::optional(machine->zone) : std::nullopt;
+  queue_.after(boot_s, [this, zone] { add_machine(zone); });
 }
 
 void Cloud::delete_machine(const MachineName& name, const std::function<void(bool)>& answer) {
--- a/tests/sim/cloud.h
+++ b/tests/sim/cloud.h
@@ -3,19 +3,23 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include "sim/clock.h"
 #include "sim/ledger.h"
+#include "sim/options.h"
 
 namespace beaconsill::sim {
 
 class Cloud {
  public:
   // `on_machine_added` is called with the name of each new machine.
-  Cloud(EventQueue& queue, Ledger& ledger, std::function<void(const MachineName&)> on_machine_added)
-      : queue_(queue), ledger_(ledger), on_machine_added_(std::move(on_machine_added)) {}
+  Cloud(EventQueue& queue, Ledger& ledger, const Options& options,
+        std::function<void(const MachineName&)> on_machine_added)
+      : queue_(queue), ledger_(ledger), options_(options), on_machine_added_(std::move(on_machine_added)) {}
 
-  void add_machine();
+  // Adds a machine in the zone, by default in the one that follows from the machine's number.
+  void add_machine(std::optional<Zone> zone = std::nullopt);
   // Terminates a machine without notifying any component. A replacement machine is added some seconds later.
   void terminate_machine(const MachineName& name);
   // Requests the deletion of a machine. `answer` receives whether the cloud reported success; the machine may
@@ -31,6 +35,7 @@
  private:
   EventQueue& queue_;
   Ledger& ledger_;
+  const Options& options_;
   std::function<void(const MachineName&)> on_machine_added_;
   int next_number_ = 0;
   double fast_boot_until_ = 0;
--- a/tests/sim/controller_shards.cpp
+++ b/tests/sim/controller_shards.cpp
@@ -15,6 +15,15 @@
 constexpr double kCancelMargin = 1;
 constexpr state_store::RegistryLimits kRegistryLimits{16, std::size_t{8} * 1024};
 
+void drop_stops_of_saving_tasks(shard::ShardManager& shard, shard::ShardManager::Batch& batch) {
+  const auto& tasks = shard.find_machine(batch.machine)->tasks;
+  std::erase_if(batch.commands, [&](const protocol::Command& command) {
+    auto task = tasks.find({command.task, command.attempt});
+    return command.op == protocol::Command::Op::kStop && task != tasks.end() &&
+           task->second.state == protocol::TaskState::kSaving;
+  });
+}
+
 std::vector<ControllerName> all_controllers() {
   std::vector<ControllerName> controllers;
   controllers.reserve(kControllers);
@@ -108,7 +117,10 @@
   auto term = led.shard->term();
   read_registry(id, led);
   led.shard->tick(instant(), *cancellations_known_until(), *process_.watch_cache->up_to_date_at());
-  for (auto& batch : led.shard->take_command_batches(instant())) send_commands(id, term, batch);
+  for (auto& batch : led.shard->take_command_batches(instant())) {
+    if (has_bug(SeededBug::kSavingTasksNotStopped)) drop_stops_of_saving_tasks(*led.shard, batch);
+    send_commands(id, term, batch);
+  }
   notify_leader(id, led);
   write_registry(id, led);
   write_progress(id, led);
--- a/tests/sim/invariants.cpp
+++ b/tests/sim/invariants.cpp
@@ -12,7 +12,7 @@
 }
 
 bool InvariantChecker::ended_by_now(const Machine& machine, const Job& job, const Task& task) const {
-  return queue_.now() >= machine.hangs_until && job.spec->kind == JobKind::kArray &&
+  return queue_.now() >= machine.hangs_until && (job.spec->kind == JobKind::kArray || task.saving) &&
          queue_.now() >= task.ends_at;
 }
 
--- a/tests/sim/job_generator.cpp
+++ b/tests/sim/job_generator.cpp
@@ -1,5 +1,7 @@
 #include "sim/job_generator.h"
 
+#include <array>
+
 namespace beaconsill::sim {
 
 protocol::JobSpec JobGenerator::next_array(std::uint32_t tasks) {
@@ -34,6 +36,13 @@
   return spec;
 }
 
+void JobGenerator::add_checkpoint(protocol::JobSpec& spec) {
+  constexpr std::array kSaveSeconds{2.0, kLease, kCancelLimit + 20};
+  if (spec.kind != JobKind::kArray) return;
+  spec.checkpoint_s = 1;
+  spec.save_s = kSaveSeconds[static_cast<std::size_t>(queue_.draw_below(kSaveSeconds.size()))];
+}
+
 JobGenerator::Pipeline JobGenerator::draw_pipeline(int index) {
   // For each step of a shape, the indices of the steps that it depends on.
   static const std::vector<std::vector<std::vector<std::size_t>>> kShapes{
--- a/tests/sim/job_generator.h
+++ b/tests/sim/job_generator.h
@@ -19,6 +19,9 @@
   // Returns an array or a service of one of the teams, in some cases with zone constraints, depending on
   // `index`. The id depends only on `index`.
   protocol::JobSpec mixed_job(int index);
+  // Gives the tasks of an array a checkpoint, which takes a short time, a lease or longer than the
+  // cancellation limit to save.
+  void add_checkpoint(protocol::JobSpec& spec);
   // Jobs that depend on each other, each only on earlier ones. The first one sometimes depends on a job that
   // was submitted before.
   using Pipeline = std::vector<protocol::JobSpec>;
--- a/tests/sim/ledger.h
+++ b/tests/sim/ledger.h
@@ -15,8 +15,10 @@
 
 struct Task {
   double image_ready_at = 0;  // when its image is on the machine and it starts
-  double ends_at = 0;         // when it completes or fails; services never complete
+  double ends_at = 0;         // when it completes, fails or has saved; services never complete
   bool running = false;
+  bool saving = false;  // was stopped and saves a checkpoint until `ends_at`
+  bool saved = false;
   bool fails = false;  // at `ends_at`
   bool ended = false;
   protocol::EndCause cause = protocol::EndCause::kDone;
--- a/tests/sim/options.h
+++ b/tests/sim/options.h
@@ -42,6 +42,7 @@
   kDependenciesIgnored,             // the leader grants jobs whose dependencies are not done
   kDependenciesRejected,            // a submission with accepted jobs as dependencies is permanently rejected
   kFailuresNotReported,             // the leader is not notified that a job fails on every machine
+  kSavingTasksNotStopped,           // a task that saves its checkpoint gets no second stop
 };
 
 struct Options {
@@ -52,6 +53,11 @@
   // Includes FaultKind::kFailingJobs and the kinds after it in the random faults. They are excluded by
   // default, so that adding these kinds has not changed the schedules of existing seeds.
   bool operations = false;
+  // The tasks of random arrays save a checkpoint when they are stopped.
+  bool checkpoints = false;
+  // Replaces a machine that terminates by one in the same zone, so that no zone of a few machines loses all
+  // of them. Not the default, so that the schedules of existing seeds have not changed.
+  bool replace_in_zone = false;
   double random_faults_until_s = 90;  // random faults begin before this time
   // All jobs must be served by this time. In some schedules, the random users and faults leave so much work
   // that the teams' CPU limits delay some jobs for more than 300 s. Jobs that wait although they could run
@@ -62,6 +68,11 @@
   bool noise = true;          // occasionally lose, delay or repeat single messages
   SeededBug seeded_bug = SeededBug::kNone;
 
+  // Lets stopped tasks save checkpoints, and leaves so few machines that tasks are often preempted.
+  void enable_checkpoints() {
+    machines = 5;
+    checkpoints = replace_in_zone = true;
+  }
   // Returns options for a schedule without random jobs, faults and message noise: only the test's script
   // runs.
   static Options scripted(std::uint64_t seed = 1) {
@@ -79,6 +90,7 @@
   int started = 0;                        // task starts
   // Task starts after a confirmed cancellation. Those later than kCancelLimit after it are violations.
   int starts_after_cancellation = 0;
+  int saves = 0;             // tasks that began to save a checkpoint
   int failing_starts = 0;    // task starts of jobs that fail on every machine
   int failing_grants = 0;    // writes of grants for such jobs
   int deleted_machines = 0;  // deleted at the request of controllers
--- a/tests/sim/random_users.cpp
+++ b/tests/sim/random_users.cpp
@@ -21,6 +21,7 @@
 
 void RandomUsers::submit_random_job(int index) {
   auto spec = jobs_.mixed_job(index);
+  if (env_.options.checkpoints) jobs_.add_checkpoint(spec);
   bool cancelled = index % 6 == 4 || (index % 3 == 0 && index % 2);
   std::optional<double> run_s;
   if (spec.kind == JobKind::kArray && index % 4 == 1) run_s = env_.queue.uniform(15, 40);
--- a/tests/sim/worker_agents.cpp
+++ b/tests/sim/worker_agents.cpp
@@ -24,9 +24,10 @@
   for (const auto& [key, task] : machine.tasks)
     heartbeat.tasks.push_back({key.first, key.second,
                                task.ended     ? protocol::TaskState::kEnded
+                               : task.saving  ? protocol::TaskState::kSaving
                                : task.running ? protocol::TaskState::kRunning
                                               : protocol::TaskState::kFetching,
-                               task.cause, false});
+                               task.cause, task.saved});
   return heartbeat;
 }
 
@@ -47,6 +48,12 @@
       if (job.done.contains(key.first.index)) task.ends_at = now;
       invariants_.on_task_start(machine, key.first, job);
     }
+    if (task.saving) {
+      if (now < task.ends_at) continue;
+      task.ended = task.saved = true;
+      task.cause = protocol::EndCause::kStopped;
+      continue;
+    }
     if (task.running && task.fails && now >= task.ends_at) {
       task.ended = true;
       task.cause = protocol::EndCause::kError;
@@ -72,8 +79,7 @@
     if (it != machine.tasks.end()) return;
     start(machine, key);
   } else if (command.op == protocol::Command::Op::kStop && it != machine.tasks.end() && !it->second.ended) {
-    it->second.ended = true;
-    it->second.cause = protocol::EndCause::kStopped;
+    stop(machine, it->second, *ledger_.jobs.at(key.first.job).spec, command.grace_s);
   } else if (command.op == protocol::Command::Op::kForget && it != machine.tasks.end() && it->second.ended) {
     machine.tasks.erase(it);
   }
@@ -88,11 +94,30 @@
   if (task.fails) task.ends_at = task.image_ready_at + queue_.uniform(0.1, kMaxTimeToFailure);
   ++outcome_.started;
   outcome_.failing_starts += job.always_fails;
-  // Tasks start and end at their exact times, not only when the next heartbeat is composed.
-  for (double due : {task.image_ready_at, task.ends_at})
-    queue_.at(due + 0.001, [this, name = machine.name] {
-      if (auto* current = ledger_.machine(name)) advance(*current);
-    });
+  for (double due : {task.image_ready_at, task.ends_at}) advance_at(machine, due);
+}
+
+// A running task saves its checkpoint if it gets enough time. A task that saves continues to do so unless it
+// gets no time at all.
+void WorkerAgents::stop(Machine& machine, Task& task, const protocol::JobSpec& spec, double grace_s) {
+  if (task.saving && grace_s > 0) return;
+  bool saves = !task.saving && task.running && spec.checkpoint_s > 0 && grace_s >= spec.save_s;
+  if (!saves) {
+    task.ended = true;
+    task.cause = protocol::EndCause::kStopped;
+    return;
+  }
+  task.saving = true;
+  task.ends_at = queue_.now() + spec.save_s;
+  ++outcome_.saves;
+  advance_at(machine, task.ends_at);
+}
+
+// Tasks start and end at their exact times, not only when the next heartbeat is composed.
+void WorkerAgents::advance_at(const Machine& machine, double due) {
+  queue_.at(due + 0.001, [this, name = machine.name] {
+    if (auto* current = ledger_.machine(name)) advance(*current);
+  });
 }
 
 CommandReply WorkerAgents::execute(Machine& machine, const shard::ShardManager::Batch& batch) {
--- a/tests/sim/worker_agents.h
+++ b/tests/sim/worker_agents.h
@@ -43,6 +43,8 @@
  private:
   using TaskKey = std::pair<TaskId, Attempt>;
   void start(Machine& machine, const TaskKey& key);
+  void stop(Machine& machine, Task& task, const protocol::JobSpec& spec, double grace_s);
+  void advance_at(const Machine& machine, double due);
   void on_task_done(const JobId& id, Job& job, std::uint32_t index);
 
   EventQueue& queue_;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -70,7 +70,7 @@
                   controller(number).on_worker_heartbeat(heartbeat, reply);
                 },
                 [this](const auto& id) { random_users_.on_job_completed(id); }}),
-      cloud_(queue_, ledger_, [this](const auto& name) { workers_.on_machine_added(name); }),
+      cloud_(queue_, ledger_, options_, [this](const auto& name) { workers_.on_machine_added(name); }),
       env_{options_,      queue_,      network_,
            state_,        workers_,    cloud_,
            decisions_,    outcome_,    settings_,
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -1,8 +1,9 @@
 // Runs random schedules of the simulation with lost, delayed and repeated messages, crashes, pauses and
 // partitions. `--seeds N` sets the number of schedules, `--first S` the first seed, `--pipelines N` adds jobs
-// that depend on others, and `--operations` adds the faults that operators reported. Equal seeds give equal
-// schedules, so that a failure can be reproduced. `--digest` prints digests of the controllers' decisions
-// instead of running the tests: two builds that print equal lines make the same decisions.
+// that depend on others, `--operations` adds the faults that operators reported, and `--checkpoints` lets
+// preempted tasks save checkpoints on few machines. Equal seeds give equal schedules, so that a failure can
+// be reproduced. `--digest` prints digests of the controllers' decisions instead of running the tests: two
+// builds that print equal lines make the same decisions.
 #include <gtest/gtest.h>
 
 #include <CLI/CLI.hpp>
@@ -18,6 +19,7 @@
 std::uint64_t first = 1;
 int pipelines = 0;
 bool operations = false;
+bool checkpoints = false;
 
 TEST(Simulation, InvariantsHoldAndEveryJobIsServed) {
   int shard_acquisitions = 0;
@@ -27,6 +29,7 @@
     options.seed = first + static_cast<std::uint64_t>(i);
     options.pipelines = pipelines;
     options.operations = operations;
+    if (checkpoints) options.enable_checkpoints();
     auto outcome = World(options).run();
     EXPECT_TRUE(outcome.violations.empty()) << "seed " << options.seed << ": " << outcome.first_violation;
     EXPECT_GT(outcome.started, 50) << "seed " << options.seed;
@@ -149,10 +152,13 @@
       app.add_option("--pipelines", beaconsill::sim::pipelines, "number of pipelines in each schedule");
   auto* operations = app.add_flag("--operations", beaconsill::sim::operations,
                                   "also inject the faults that operators reported, see sim/fault.h");
+  auto* checkpoints = app.add_flag("--checkpoints", beaconsill::sim::checkpoints,
+                                   "few machines, on which preempted tasks save checkpoints");
   bool digest = false;
   app.add_flag("--digest", digest, "print the digests of schedules of all kinds, and run no test")
       ->excludes(pipelines)
-      ->excludes(operations);
+      ->excludes(operations)
+      ->excludes(checkpoints);
   CLI11_PARSE(app, argc, argv);
   spdlog::set_level(spdlog::level::off);
   if (digest) return beaconsill::sim::print_digests() ? 0 : 1;
