--- a/review/stand-ins-2/hunt.cpp
+++ b/review/stand-ins-2/hunt.cpp
@@ -36,7 +36,7 @@
   int next = 1;
   std::vector<std::string> ids;
   std::function<void()> submit = [&] {
-    if (world.now() - begin > length * 0.7) return;
+    if (world.now() - begin > length * 0.4) return;
     char id[32];
     std::snprintf(id, sizeof id, "run-%06d", next++);
     const int kind = static_cast<int>(world.random() % 10);
@@ -73,11 +73,11 @@
   };
   poll();
   std::function<void()> trouble = [&] {
-    if (!arguments.trouble || world.now() - begin > length * 0.6) return;
+    if (!arguments.trouble || world.now() - begin > length * 0.45) return;
     const auto node = static_cast<std::size_t>(world.random() % 3);
     auto* worker = world.workers[world.random() % world.workers.size()].get();
-    const double for_s = world.uniform(0.3, 14);
-    switch (world.random() % 15) {
+    const double for_s = world.random() % 3 ? world.uniform(0.3, 14) : world.uniform(15, 48);
+    switch (world.random() % 17) {
       case 0:
       case 1:
         world.controllers->kill(node);
@@ -144,6 +144,31 @@
         world.at(for_s, [worker] { worker->no_direct = false; });
         break;
       case 14:
+        world.log("cancel now");
+        for (int n = 0, k = 0; n < 40 && k < 3 && !ids.empty(); ++n) {
+          const auto& id = ids[world.random() % ids.size()];
+          if (!users.jobs[id].accepted || users.jobs[id].cancel_asked || world.running(id) == 0) continue;
+          ++k;
+          users.cancel(id, world.random() % 3);
+        }
+        if (world.random() % 2) {
+          world.state->set_refused(node, true);
+          world.at(for_s + 1, [&world, node] { world.state->set_refused(node, false); });
+          world.at(1, [&world] { world.state->set_outage(true); });
+          world.at(1 + for_s, [&world] { world.state->set_outage(false); });
+        }
+        break;
+      case 15:
+        for (auto& [ends, link] : world.links)
+          if (ends.first == node || ends.second == node) link->set(PeerLink::Mode::kHold);
+        world.state->set_refused(node, true);
+        world.at(for_s, [&world, node] {
+          world.state->set_refused(node, false);
+          for (auto& [ends, link] : world.links)
+            if (ends.first == node || ends.second == node) link->set(PeerLink::Mode::kPass);
+        });
+        break;
+      case 16:
         world.state->fate = [&world](std::size_t, const Request&) {
           world.state->slow_s = world.uniform(0.05, 0.4);
           return StateService::Fate::kSlow;
@@ -153,6 +178,10 @@
     }
     world.at(world.uniform(0.2, 6), trouble);
   };
+  world.at(length * 0.5, [&] {
+    for (auto& id : ids)
+      if (users.jobs[id].spec["shape"] == "daemon" && users.jobs[id].accepted) users.cancel(id, world.random() % 3);
+  });
   world.at(2, trouble);
   world.run_for(length);
   std::size_t waiting = 0, running = 0;
--- a/review/stand-ins-2/platform.cpp
+++ b/review/stand-ins-2/platform.cpp
@@ -433,7 +433,8 @@
   auto t = std::find_if(types.begin(), types.end(), [&](const auto& x) { return x.name == type; });
   auto copy = tasks;
   for (auto& [key, task] : copy) {
-    auto& job = world_.users.jobs[task->job];
+    if (task->state == "ended") continue;
+    auto& job = world_.users.jobs.at(task->job);
     const auto image = job.spec.value("cargo", "");
     const bool gang = job.spec["shape"] == "group";
     if (task->state == "fetching") {
@@ -450,6 +451,8 @@
       task->since = now;
       task->run_left = job.run_s;
       changed();
+    } else if (sick && task->state == "running") {
+      if (now - task->since >= 0.3) finish(task, "error");
     } else if (task->state == "running" && !gang) {
       if (job.spec["shape"] != "daemon" && now - task->since >= task->run_left) finish(task, "done");
     } else if (task->state == "waiting" && now - task->since > world_.deployment.gang_wait_s) {
@@ -997,7 +1000,11 @@
 void World::start() {
   ticker_ = std::make_unique<asio::steady_timer>(io);
   tick();
-  for (std::size_t i = 0; i < count(); ++i) controllers->start(i);
+  for (std::size_t i = 0; i < count(); ++i) {
+    log(controllers->names[i] + " serves users and workers at " + text_of(controllers->user_ports[i]));
+    controllers->start(i);
+  }
+  record.flush();
 }
 
 void World::stop() {
@@ -1085,6 +1092,16 @@
   return count;
 }
 
+bool World::wait_until_home(double limit_s) {
+  return run_until(
+      [&] {
+        for (std::size_t i = 0; i < count(); ++i)
+          if (role_holder("part/" + std::to_string(i)) != controllers->names[i]) return false;
+        return true;
+      },
+      limit_s);
+}
+
 bool World::wait_until_ready(double limit_s) {
   auto healthy = std::make_shared<std::set<std::size_t>>();
   for (std::size_t i = 0; i < count(); ++i) {
--- a/review/stand-ins-2/platform.h
+++ b/review/stand-ins-2/platform.h
@@ -128,6 +128,7 @@
   bool mute = false;       // its reports reach no controller
   bool deaf = false;       // answers to its reports, and direct commands, are lost
   bool no_direct = false;  // direct commands are lost
+  bool sick = false;       // fails every task that it starts
   std::optional<double> recall_s;
   void hang(bool on);
   bool hanging() const { return hanging_; }
@@ -325,6 +326,8 @@
   void stop();
   std::size_t count() const { return deployment.controller_zones.size(); }
   bool wait_until_ready(double limit_s = 40);
+  // Waits until each controller leads the part of the machines that is its own.
+  bool wait_until_home(double limit_s = 25);
   std::string role_holder(const std::string& role) const;
   std::size_t running(const std::string& job) const;
 
