--- a/review/stand-ins-2/platform.cpp
+++ b/review/stand-ins-2/platform.cpp
@@ -449,7 +449,7 @@
       world_.ledger.on(*this, *task);
       task->state = gang ? "waiting" : "running";
       task->since = now;
-      task->run_left = job.run_s;
+      task->run_left = job.run_s + job.run_spread_s * ((task->index * 619) % 1000) / 1000.0;
       changed();
     } else if (sick && task->state == "running") {
       if (now - task->since >= 0.3) finish(task, "error");
@@ -644,7 +644,11 @@
   s << "[cluster.workers]\nreport_s = " << d.report_s << "\nlease_s = " << d.lease_s << "\ngang_wait_s = "
     << d.gang_wait_s << "\ngang_peer_s = " << d.gang_peer_s << "\ncancel_s = " << d.cancel_s
     << "\n\n[cluster.state]\nrps = " << d.state_rps << "\nwrite_rps = " << d.state_write_rps << "\nvalue_kb = "
-    << d.value_kb << "\ntxn_ops = " << d.txn_ops << "\n\n[cluster.cloud]\nrps = " << d.cloud_rps << "\nlist_lag_s = "
+    << d.value_kb << "\ntxn_ops = " << d.txn_ops << "\n\n";
+  if (d.next_value_kb > 0)
+    s << "[cluster.state.next]\nwrite_rps = " << d.next_write_rps << "\nvalue_kb = " << d.next_value_kb << "\ntxn_ops = "
+      << d.next_txn_ops << "\n\n";
+  s << "[cluster.cloud]\nrps = " << d.cloud_rps << "\nlist_lag_s = "
     << d.list_lag_s << "\n\n[cluster.quota]\ncpu = " << d.cpu << "\nmem_mb = " << d.mem_mb << "\nmax_connections = "
     << d.max_connections << "\n";
   return s.str();
--- a/review/stand-ins-2/platform.h
+++ b/review/stand-ins-2/platform.h
@@ -54,6 +54,8 @@
   double report_s = 1, lease_s = 10, gang_wait_s = 35, gang_peer_s = 6, cancel_s = 40;
   double state_rps = 60, state_write_rps = 20, value_kb = 8;
   int txn_ops = 16;
+  double next_write_rps = 0, next_value_kb = 0;  // limits to come (`state.next`), if any
+  int next_txn_ops = 0;
   double cloud_rps = 4, list_lag_s = 5;
   double cpu = 0.12, mem_mb = 56;
   int max_connections = 600;
@@ -242,6 +244,7 @@
   Json spec;
   std::string id;
   double run_s = 10;
+  double run_spread_s = 0;  // the tasks' run times differ by up to this much, in no order
   bool accepted = false;
   bool cancel_asked = false;
   double submitted_at = 0, accepted_at = 0, cancelled_at = 0, done_at = 0;
