--- a/review/stand-ins-2/hunt.cpp
+++ b/review/stand-ins-2/hunt.cpp
@@ -27,6 +27,16 @@
   auto& users = world.users;
   for (int i = 0; i < 8; ++i) world.add_machine("nodo-medio", d.zones[i % 2], i >= 6);
   world.cloud->capacity = 4;
+  // An upgrade: the controllers begin with the earlier version, and come back with the new one in turn.
+  if (arguments.more.size() > 2)
+    for (std::size_t i = 0; i < 3; ++i) {
+      world.controllers->run[i] = arguments.more[2];
+      world.at(20 + 12.0 * static_cast<double>(i), [&world, &arguments, i] {
+        world.controllers->kill(i);
+        world.controllers->run[i] = arguments.run;
+        world.at(2, [&world, i] { world.controllers->start(i); });
+      });
+    }
   world.start();
   if (!world.wait_until_ready()) {
     std::cerr << "not ready\n";
--- a/review/stand-ins-2/platform.cpp
+++ b/review/stand-ins-2/platform.cpp
@@ -604,6 +604,7 @@
 Controllers::Controllers(World& world, std::string binary, std::string folder)
     : world_(world), binary_(std::move(binary)), folder_(std::move(folder)) {
   pids.resize(world.count());
+  run.assign(world.count(), binary_);
   expected_.resize(world.count());
   static std::vector<std::unique_ptr<Tcp::acceptor>> reserved;
   for (std::size_t i = 0; i < world.count(); ++i) {
@@ -661,7 +662,7 @@
   const auto log = folder_ + "/" + names[i] + ".log";
   // `run` of the deploy file: a program with its arguments; the settings file is added as the last one.
   std::vector<std::string> words;
-  std::istringstream in(binary_);
+  std::istringstream in(run[i]);
   for (std::string word; in >> word;) words.push_back(word);
   words.push_back(path);
   std::vector<char*> arguments;
--- a/review/stand-ins-2/platform.h
+++ b/review/stand-ins-2/platform.h
@@ -194,6 +194,7 @@
   std::vector<Tcp::endpoint> user_ports, peer_ports;
   int unexpected_ends = 0;
   std::string log_level = "info";
+  std::vector<std::string> run;  // by controller; in upgrades they differ
 
  private:
   std::string settings(std::size_t i) const;
