--- a/review/stand-ins-2/connections.cpp
+++ b/review/stand-ins-2/connections.cpp
@@ -153,7 +153,7 @@
 
 int connections(const CaseArguments& arguments) {
   const int count = 195;
-  const double silent_s = 92;
+  const double silent_s = 90;
   Deployment d;  // Retemonti, with the operators' account (`kit/more`)
   World world(d, arguments.run, arguments.record);
   for (int i = 0; i < 4; ++i) world.add_machine("nodo-medio", d.zones[i % 2]);
@@ -184,7 +184,7 @@
     }
   }
   std::vector<int> answered_before;
-  world.run_for(std::min(silent_s + 1, 117 - begin));
+  world.run_for(std::min(silent_s + 1.5, 117 - begin));
   const double end = world.now();
   int forgotten = 0, answered = 0;
   for (auto& user : users) {
