--- a/review/stand-ins-2/connections.cpp
+++ b/review/stand-ins-2/connections.cpp
@@ -78,15 +78,21 @@
   bool accepted() const { return accepted_; }
   const std::string& id() const { return id_; }
 
+  // Submits over a connection of its own, which the user closes again.
   void submit() {
-    send("POST", "/v1/jobs", world_.users.jobs.at(id_).spec.dump(), 5, [self = shared_from_this()](const Result& result) {
-      if (result && (result->status == 201 || result->status == 200)) {
-        self->accepted_ = true;
-        self->last_answer = self->world_.now();
-        return self->later();
-      }
-      self->world_.at(1, [self] { self->submit(); });
-    });
+    const auto node = static_cast<std::size_t>(world_.random() % world_.count());
+    world_.users.call(node, "POST", "/v1/jobs", world_.users.jobs.at(id_).spec.dump(), 5,
+                      [self = shared_from_this()](const Result& result) {
+                        if (result && (result->status == 201 || result->status == 200)) {
+                          self->accepted_ = true;
+                          self->last_answer = self->world_.now();
+                          return;
+                        }
+                        self->world_.at(1, [self] { self->submit(); });
+                      });
+  }
+  void begin_polls() {
+    world_.at(world_.uniform(0, 1), [self = shared_from_this()] { self->poll(); });
   }
   // The connections of a node that has ended are gone.
   void on_node_ended(std::size_t node) {
@@ -152,39 +158,46 @@
 };
 
 int connections(const CaseArguments& arguments) {
-  const int count = 195;
+  const int count = 375;
   const double silent_s = 90;
   Deployment d;  // Retemonti, with the operators' account (`kit/more`)
+  d.teams = {{"squadra-rete", 0, 0}, {"gruppo-ateneo", 0, 0}};
   World world(d, arguments.run, arguments.record);
-  for (int i = 0; i < 4; ++i) world.add_machine("nodo-medio", d.zones[i % 2]);
+  for (int i = 0; i < 2; ++i) world.add_machine("nodo-medio", d.zones[i % 2]);
   world.start();
   if (!world.wait_until_ready()) return 2;
   LoadBalancer balancer(world);
-  world.run_for(1.2);
   std::vector<std::shared_ptr<User>> users;
   for (int i = 0; i < count; ++i) {
     char id[32];
     std::snprintf(id, sizeof id, "run-%06d", 1000 + i);
-    world.users.add(world.users.make(id, "daemon", 1, 4, 0), 0);
-    world.users.jobs.at(id).spec["memoryGb"] = 10.0;
+    auto spec = world.users.make(id, "batch", 1, 0.25, 150);
+    spec["berth"] = "sonde-singole";
+    spec["crew"] = "gruppo-ateneo";
+    spec["precedence"] = "best_effort";
+    spec["memoryGb"] = 0.9;
+    spec["driftwood"] = true;
+    world.users.add(spec, 150);
     users.push_back(std::make_shared<User>(world, balancer, id));
-    world.at(0.06 * i, [user = users.back()] { user->submit(); });
+    world.at(0.04 * i, [user = users.back()] { user->submit(); });
   }
   auto all_accepted = [&] {
     return std::all_of(users.begin(), users.end(), [](const auto& user) { return user->accepted(); });
   };
-  if (!world.run_until(all_accepted, 25)) return 2;
+  if (!world.run_until(all_accepted, 24)) return 2;
   world.log("all " + std::to_string(count) + " jobs are accepted");
+  for (auto& user : users) user->begin_polls();
+  auto all_answered = [&] {
+    return std::all_of(users.begin(), users.end(), [](const auto& user) { return user->answered > 0; });
+  };
+  if (!world.run_until(all_answered, 3)) return 2;
   const double begin = world.now();
   if (arguments.trouble) {
-    for (std::size_t i : {1, 2}) {
-      world.controllers->kill(i);
-      for (auto& user : users) user->on_node_ended(i);
-      world.at(silent_s, [&world, i] { world.controllers->start(i); });
-    }
+    world.controllers->kill(1);
+    for (auto& user : users) user->on_node_ended(1);
+    world.at(silent_s, [&world] { world.controllers->start(1); });
   }
-  std::vector<int> answered_before;
-  world.run_for(std::min(silent_s + 1.5, 117 - begin));
+  world.run_for(std::min(silent_s + 1, 118 - begin));
   const double end = world.now();
   int forgotten = 0, answered = 0;
   for (auto& user : users) {
