--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -55,6 +55,7 @@
   }
 
   bool idle() const { return phase_ == Phase::kIdle; }
+  bool is_user() const { return is_user_; }
 
   bool on_target(std::string_view text) override {
     target_.append(text);
@@ -138,7 +139,10 @@
   // the limit is reached.
   bool admit_user_connection() {
     if (is_user_ || !server_->is_user_(request_)) return true;
-    if (server_->user_connections_ >= server_->limits_.max_user_connections) return false;
+    if (server_->user_connections_ >= server_->limits_.max_user_connections) {
+      server_->log_refusal(RefusalReason::kUserLimit);
+      return false;
+    }
     is_user_ = true;
     ++server_->user_connections_;
     return true;
@@ -231,8 +235,17 @@
   return false;
 }
 
+void HttpServer::log_refusal(RefusalReason reason) {
+  const auto now = std::chrono::steady_clock::now();
+  if (!refusal_log_.due(now)) return refusal_log_.count();
+  ConnectionCounts counts{connections_.size(), user_connections_, 0};
+  for (const auto& connection : connections_)
+    counts.idle_users += connection->is_user() && connection->idle() ? 1 : 0;
+  refusal_log_.log(reason, counts, now);
+}
+
 void HttpServer::on_accept(Tcp::socket socket) {
-  if (!make_room_for_connection()) return;
+  if (!make_room_for_connection()) return log_refusal(RefusalReason::kConnectionLimit);
   auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
   connections_.push_back(connection);
   connection->start(std::prev(connections_.end()));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,7 @@
 
 #include "net/http.h"
 #include "net/listener.h"
+#include "net/refusal_log.h"
 
 namespace beaconsill::net {
 
@@ -58,6 +59,7 @@
   // Makes room for one connection: if the limit is reached, closes the connection that has been idle for
   // longest. Returns false if the limit is reached and no connection is idle.
   bool make_room_for_connection();
+  void log_refusal(RefusalReason reason);
 
   asio::io_context& io_;
   Listener listener_;
@@ -66,6 +68,7 @@
   Handler handler_;
   Connections connections_;  // in the order of their last response, least recent first
   std::size_t user_connections_ = 0;
+  RefusalLog refusal_log_;
 };
 
 }  // namespace beaconsill::net
