Users and workers each keep their share of a controller's connections

What callers saw: while workers connected anew in numbers, the connections of users were closed; and new connections of users could take those of workers, although these sent heartbeats every second.

Cause: at the limit of all connections the one that had been idle for longest was closed, whoever it belonged to. A worker's connection is idle between two heartbeats, a user's for longer between two polls.

ConnectionTable has a list for each group and closes one of the group that exceeds its share. The shares are those that the socket limits had before.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -24,7 +24,7 @@
   auto sockets = plan_socket_limits(settings);
   net::ServerLimits limits;
   limits.max_connections = sockets.accepted;
-  limits.max_user_connections = sockets.accepted_from_users;
+  limits.user_share = sockets.user_share;
   return limits;
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kReadBufferBytes = 4096;
+constexpr int kRetryAfterSeconds = 1;
 
 std::string format(const Response& response, bool keep_alive) {
   std::string text =
@@ -36,8 +38,8 @@
         phase_timer_(server_->io_),
         parser_(HTTP_REQUEST, *this) {}
 
-  void start(Connections::iterator list_position) {
-    list_position_ = list_position;
+  void start(Connections::Position position) {
+    position_ = position;
     std::error_code error;
     socket_.set_option(Tcp::no_delay(true), error);
     start_phase_timer(server_->limits_.idle_timeout);
@@ -51,11 +53,10 @@
     socket_.close(error);
     phase_timer_.cancel();
     if (is_user_) --server_->user_connections_;
-    server_->connections_.erase(list_position_);
+    server_->connections_.remove(position_, group_);
   }
 
   bool idle() const { return phase_ == Phase::kIdle; }
-  bool is_user() const { return is_user_; }
 
   bool on_target(std::string_view text) override {
     target_.append(text);
@@ -126,8 +127,11 @@
     const auto query = target_.find('?');
     request_.path = target_.substr(0, query);
     if (query != std::string::npos) request_.query = target_.substr(query + 1);
-    if (!admit_user_connection())
-      return send({status::kServiceUnavailable, R"({"error":"too many connections"})", 1, true});
+    const bool from_user = server_->is_user_(request_);
+    move_to(from_user ? ConnectionGroup::kUsers : ConnectionGroup::kOthers);
+    if (from_user && !admit_user_connection())
+      return send(
+          {status::kServiceUnavailable, R"({"error":"too many connections"})", kRetryAfterSeconds, true});
     server_->handler_(std::move(request_), [weak = weak_from_this(),
                                             request_number = ++request_number_](const Response& response) {
       auto self = weak.lock();
@@ -135,11 +139,15 @@
     });
   }
 
-  // Counts the connection against the limit of user connections if its request is a user's. Returns false if
-  // the limit is reached.
+  void move_to(ConnectionGroup group) {
+    server_->connections_.move_to_end(position_, group_, group);
+    group_ = group;
+  }
+
+  // Counts the connection against the limit of user connections. Returns false if the limit is reached.
   bool admit_user_connection() {
-    if (is_user_ || !server_->is_user_(request_)) return true;
-    if (server_->user_connections_ >= server_->limits_.max_user_connections) {
+    if (is_user_) return true;
+    if (server_->user_connections_ >= server_->limits_.user_share) {
       server_->log_refusal(RefusalReason::kUserLimit);
       return false;
     }
@@ -171,8 +179,7 @@
     send_buffer_.clear();
     send_buffer_.shrink_to_fit();
     header_bytes_ = 0;
-    // The list is ordered by the time of the last response, so this connection moves to its end.
-    server_->connections_.splice(server_->connections_.end(), server_->connections_, list_position_);
+    move_to(group_);
     if (received_.empty()) {
       phase_ = Phase::kIdle;
       start_phase_timer(server_->limits_.idle_timeout);
@@ -186,7 +193,8 @@
   std::shared_ptr<HttpServer> server_;
   Tcp::socket socket_;
   asio::steady_timer phase_timer_;
-  Connections::iterator list_position_;
+  Connections::Position position_;
+  ConnectionGroup group_ = ConnectionGroup::kUsers;
   MessageParser parser_;
   std::array<char, kReadBufferBytes> buffer_{};
   std::string received_;  // bytes that have not been parsed yet
@@ -208,7 +216,8 @@
       listener_(io_context, local),
       limits_(limits),
       is_user_(std::move(is_user)),
-      handler_(std::move(handler)) {}
+      handler_(std::move(handler)),
+      connections_(limits.max_connections, limits.user_share) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -225,30 +234,26 @@
 }
 
 bool HttpServer::make_room_for_connection() {
-  if (connections_.size() < limits_.max_connections) return true;
-  for (auto& connection : connections_) {
-    if (!connection->idle()) continue;
-    auto evicted = connection;
-    evicted->close();
-    return true;
-  }
-  return false;
+  if (!connections_.full()) return true;
+  auto evicted = connections_.find_evictable();
+  if (!evicted) return false;
+  evicted->close();
+  return true;
 }
 
 void HttpServer::log_refusal(RefusalReason reason) {
   const auto now = std::chrono::steady_clock::now();
   if (!refusal_log_.due(now)) return refusal_log_.count();
-  ConnectionCounts counts{connections_.size(), user_connections_, 0};
-  for (const auto& connection : connections_)
-    counts.idle_users += connection->is_user() && connection->idle() ? 1 : 0;
-  refusal_log_.log(reason, counts, now);
+  const auto& users = connections_.users();
+  const auto idle_users =
+      std::count_if(users.begin(), users.end(), [](const auto& connection) { return connection->idle(); });
+  refusal_log_.log(reason, {connections_.size(), users.size(), static_cast<std::size_t>(idle_users)}, now);
 }
 
 void HttpServer::on_accept(Tcp::socket socket) {
   if (!make_room_for_connection()) return log_refusal(RefusalReason::kConnectionLimit);
   auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
-  connections_.push_back(connection);
-  connection->start(std::prev(connections_.end()));
+  connection->start(connections_.add(connection));
 }
 
 }  // namespace beaconsill::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -4,10 +4,10 @@
 #include <asio/io_context.hpp>
 #include <cstddef>
 #include <functional>
-#include <list>
 #include <memory>
 #include <string>
 
+#include "net/connection_table.h"
 #include "net/http.h"
 #include "net/listener.h"
 #include "net/refusal_log.h"
@@ -15,11 +15,13 @@
 namespace beaconsill::net {
 
 struct ServerLimits {
-  // The limit for all connections. Beyond it, the connection that has been idle for longest is closed to make
-  // room for a new one; if none is idle, the new connection is closed.
+  // The limit for all connections. Beyond it, an idle connection is closed to make room for a new one; if
+  // none is idle, the new connection is closed. See ConnectionTable.
   std::size_t max_connections = 256;
-  // The limit for user connections: those over which at least one request of a user (see IsUser) has arrived.
-  std::size_t max_user_connections = 192;
+  // The part of `max_connections` that workers and health checks can't take from users; users can't take the
+  // rest from these. Also the limit for user connections: those over which at least one request of a user
+  // (see IsUser) has arrived.
+  std::size_t user_share = 192;
   std::size_t max_body_bytes = std::size_t{64} * 1024;
   // The limit for the request target and all header fields together.
   std::size_t max_header_bytes = std::size_t{16} * 1024;
@@ -36,8 +38,8 @@
   // returns.
   using Reply = std::function<void(Response)>;
   using Handler = std::function<void(Request, Reply)>;
-  // Returns true for requests of users. Their connections count against `max_user_connections`; those of
-  // workers and health probes don't.
+  // Returns true for requests of users, as opposed to those of workers and health checks. See
+  // ServerLimits::user_share.
   using IsUser = std::function<bool(const Request&)>;
 
   // Throws std::system_error if the address can't be bound.
@@ -54,10 +56,10 @@
 
  private:
   class Connection;
-  using Connections = std::list<std::shared_ptr<Connection>>;
+  using Connections = ConnectionTable<Connection>;
   void on_accept(Tcp::socket socket);
-  // Makes room for one connection: if the limit is reached, closes the connection that has been idle for
-  // longest. Returns false if the limit is reached and no connection is idle.
+  // Makes room for one connection: if the limit is reached, closes an idle connection. Returns false if
+  // the limit is reached and no connection is idle.
   bool make_room_for_connection();
   void log_refusal(RefusalReason reason);
 
@@ -66,7 +68,7 @@
   ServerLimits limits_;
   IsUser is_user_;
   Handler handler_;
-  Connections connections_;  // in the order of their last response, least recent first
+  Connections connections_;
   std::size_t user_connections_ = 0;
   RefusalLog refusal_log_;
 };
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -119,7 +119,7 @@
 
 TEST(HttpServer, RejectsUserConnectionsBeyondLimitWithRetryAfter) {
   ServerLimits limits;
-  limits.max_user_connections = 1;
+  limits.user_share = 1;
   EchoServer echo(limits);
   auto client = [&] { return std::make_shared<HttpClient>(echo.io, echo.server->local(), 1); };
   auto first_user = client(), second_user = client(), worker = client();
--- a/tests/socket_limits_test.cpp
+++ b/tests/socket_limits_test.cpp
@@ -19,9 +19,8 @@
     auto limits = controller::plan_socket_limits(settings);
     EXPECT_LE(limits.infrastructure + limits.commands + limits.accepted, test_case.max_connections);
     EXPECT_GE(limits.accepted, test_case.workers + test_case.workers / 4) << test_case.max_connections;
-    EXPECT_GT(limits.accepted_from_users, 0u) << test_case.max_connections;
-    EXPECT_GE(limits.accepted - limits.accepted_from_users, limits.accepted_from_users)
-        << test_case.max_connections;
+    EXPECT_GT(limits.user_share, 0u) << test_case.max_connections;
+    EXPECT_GE(limits.accepted - limits.user_share, limits.user_share) << test_case.max_connections;
   }
 }
 
