--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -52,7 +52,7 @@
     std::error_code error;
     socket_.close(error);
     phase_timer_.cancel();
-    if (is_user_) --server_->user_connections_;
+    end_user_request();
     server_->connections_.remove(position_, group_);
   }
 
@@ -129,9 +129,9 @@
     if (query != std::string::npos) request_.query = target_.substr(query + 1);
     const bool from_user = server_->is_user_(request_);
     move_to(from_user ? ConnectionGroup::kUsers : ConnectionGroup::kOthers);
-    if (from_user && !admit_user_connection())
-      return send(
-          {status::kServiceUnavailable, R"({"error":"too many connections"})", kRetryAfterSeconds, true});
+    if (from_user && !begin_user_request())
+      return send({status::kServiceUnavailable, R"({"error":"too many requests at the same time"})",
+                   kRetryAfterSeconds, true});
     server_->handler_(std::move(request_), [weak = weak_from_this(),
                                             request_number = ++request_number_](const Response& response) {
       auto self = weak.lock();
@@ -144,18 +144,24 @@
     group_ = group;
   }
 
-  // Counts the connection against the limit of user connections. Returns false if the limit is reached.
-  bool admit_user_connection() {
-    if (is_user_) return true;
-    if (server_->user_connections_ >= server_->limits_.user_share) {
+  // Counts the request against the limit for users. Returns false if the limit is reached.
+  bool begin_user_request() {
+    if (server_->user_requests_ >= server_->limits_.user_share) {
       server_->log_refusal(RefusalReason::kUserLimit);
       return false;
     }
-    is_user_ = true;
-    ++server_->user_connections_;
+    in_user_request_ = true;
+    ++server_->user_requests_;
     return true;
   }
 
+  // To be called when the response is sent, or the connection closes.
+  void end_user_request() {
+    if (!in_user_request_) return;
+    in_user_request_ = false;
+    --server_->user_requests_;
+  }
+
   bool awaits_response(std::uint64_t request_number) const {
     return !closed_ && request_number_ == request_number && phase_ == Phase::kHandling;
   }
@@ -174,6 +180,7 @@
   }
 
   void start_next_request() {
+    end_user_request();
     request_ = {};
     target_.clear();
     send_buffer_.clear();
@@ -206,7 +213,7 @@
   std::optional<int> limit_exceeded_status_;  // set if the request exceeds a size limit
   Phase phase_ = Phase::kIdle;
   bool keep_alive_ = true;
-  bool is_user_ = false;
+  bool in_user_request_ = false;  // whether the request counts against the limit for users
   bool closed_ = false;
 };
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -15,12 +15,13 @@
 namespace beaconsill::net {
 
 struct ServerLimits {
-  // The limit for all connections. Beyond it, an idle connection is closed to make room for a new one; if
-  // none is idle, the new connection is closed. See ConnectionTable.
+  // The limit for all connections. Beyond it, one that has no request in progress is closed to make room for
+  // a new one; if there is none, the new connection is closed. See ConnectionTable.
   std::size_t max_connections = 256;
   // The part of `max_connections` that workers and health checks can't take from users; users can't take the
-  // rest from these. Also the limit for user connections: those over which at least one request of a user
-  // (see IsUser) has arrived.
+  // rest from these. Also the limit for requests of users (see IsUser) that are in progress at the same time.
+  // Connections over which nothing is in progress are not limited: users keep theirs open between requests,
+  // and a limit would refuse other users for as long as these stay.
   std::size_t user_share = 192;
   std::size_t max_body_bytes = std::size_t{64} * 1024;
   // The limit for the request target and all header fields together.
@@ -58,8 +59,8 @@
   class Connection;
   using Connections = ConnectionTable<Connection>;
   void on_accept(Tcp::socket socket);
-  // Makes room for one connection: if the limit is reached, closes an idle connection. Returns false if
-  // the limit is reached and no connection is idle.
+  // Makes room for one connection: if the limit is reached, closes a connection that has no request in
+  // progress. Returns false if the limit is reached and there is none.
   bool make_room_for_connection();
   void log_refusal(RefusalReason reason);
 
@@ -69,7 +70,7 @@
   IsUser is_user_;
   Handler handler_;
   Connections connections_;
-  std::size_t user_connections_ = 0;
+  std::size_t user_requests_ = 0;  // in progress
   RefusalLog refusal_log_;
 };
 
--- a/src/net/refusal_log.h
+++ b/src/net/refusal_log.h
@@ -9,15 +9,15 @@
 namespace beaconsill::net {
 
 enum class RefusalReason {
-  kUserLimit,        // the limit for users is reached
+  kUserLimit,        // too many requests of users are in progress
   kConnectionLimit,  // the limit for all connections is reached, and none of them could be closed
 };
 
 // What occupies the server's connections.
 struct ConnectionCounts {
   std::size_t all = 0;
-  std::size_t users = 0;
-  std::size_t idle_users = 0;  // user connections without a request in progress
+  std::size_t users = 0;       // of users, or without any request so far
+  std::size_t idle_users = 0;  // of these, without a request in progress
 };
 
 // Limits the number of lines: a flood of connections must not become a flood of log lines.
--- a/tests/controller_end_to_end_test.cpp
+++ b/tests/controller_end_to_end_test.cpp
@@ -79,6 +79,32 @@
 }
 
 // Fetching a list of thousands of machines takes longer than the period at which lists are requested.
+// review/6: users keep their connections open between two polls. More of them than the controller has
+// connections for are all answered, while its worker's heartbeats are, and `/up` says that it takes requests.
+TEST(EndToEnd, MoreUsersThanConnectionsAreAllAnswered) {
+  TwoControllers cluster;
+  cluster.wait_until_healthy();
+  ASSERT_EQ(cluster.call(0, "POST", "/v1/jobs", TwoControllers::job("run-1", "daemon", 1)).status, 201);
+  constexpr int kUsers = 250;
+  std::vector<std::shared_ptr<net::HttpClient>> users;
+  for (int i = 0; i < kUsers; ++i)
+    users.push_back(std::make_shared<net::HttpClient>(cluster.io, cluster.ports[0], 1));
+  const auto heartbeats_before = cluster.workers[0]->answered;
+  for (int round = 0; round < 2; ++round) {
+    for (const auto& user : users) {
+      int status = 0;
+      user->request("GET", "/v1/jobs/run-1", "", std::chrono::seconds(5),
+                    [&](const net::Result& result) { status = result ? result->status : -1; });
+      cluster.run_until([&] { return status != 0; }, "the poll ends");
+      ASSERT_EQ(status, 200);
+    }
+    EXPECT_EQ(cluster.call(0, "GET", "/up").status, 200);
+  }
+  cluster.run_until([&] { return cluster.workers[0]->answered > heartbeats_before + 2; },
+                    "the worker's heartbeats are answered");
+  for (const auto& user : users) user->stop();
+}
+
 TEST(EndToEnd, MachineListIsNotRequestedWhileAnotherRequestIsPending) {
   TwoControllers cluster;
   cluster.wait_until_healthy();
