Unfinished requests no longer keep others out of a controller

What callers saw: connections over which only a part of a request had arrived kept every other client out until they timed out after 10 s, and for good if they were opened anew.

Cause: only connections between two requests were closed for a new one. At the limit of all connections, if none was, each new connection was closed at once, those of workers and health checks included.

If no connection of the group that exceeds its share is idle, the one that has been sending its request for longest is closed. New connections count as users', so a flood of them takes places from users and from itself before it takes those of workers.

Test: HttpServerLimits.UnfinishedRequestsDoNotKeepOthersOut, with nothing sent, a part of the header and a part of the body.

--- a/src/net/connection_table.h
+++ b/src/net/connection_table.h
@@ -18,7 +18,8 @@
   kOthers  // workers and health checks
 };
 
-// Connection must have the method `bool idle() const`: whether it has no request in progress.
+// Connection must have two methods: `bool idle() const`, whether it has no request in progress, and
+// `bool receiving() const`, whether it has received a part of a request.
 template <class Connection>
 class ConnectionTable {
  public:
@@ -51,13 +52,15 @@
   void remove(Position position, ConnectionGroup group) { connections(group).erase(position); }
 
   // Returns the connection to close for a new one, or nullptr if all have requests in progress: the one that
-  // has been idle for longest in the group that exceeds its share.
+  // has been idle for longest in the group that exceeds its share. If none is idle there, one that has not
+  // received its request completely, so that clients which send slowly can't occupy the group's share.
   std::shared_ptr<Connection> find_evictable() const {
     // A new connection counts as a user's.
     const bool users_exceed_share = users().size() >= user_share_;
     const auto& exceeding = users_exceed_share ? users() : others();
     const auto& within_share = users_exceed_share ? others() : users();
     if (auto found = find_first(exceeding, &Connection::idle)) return found;
+    if (auto found = find_first(exceeding, &Connection::receiving)) return found;
     return find_first(within_share, &Connection::idle);
   }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -57,6 +57,7 @@
   }
 
   bool idle() const { return phase_ == Phase::kIdle; }
+  bool receiving() const { return phase_ == Phase::kReceiving; }
 
   bool on_target(std::string_view text) override {
     target_.append(text);
--- a/tests/http_server_limits_test.cpp
+++ b/tests/http_server_limits_test.cpp
@@ -202,6 +202,23 @@
   EXPECT_EQ(count_open(users), kUserShare);
 }
 
+// Connections over which no complete request arrives kept everyone else out until they timed out.
+TEST_F(HttpServerLimits, UnfinishedRequestsDoNotKeepOthersOut) {
+  for (const char* bytes :
+       {"", "GET /user HTTP/1.1\r\nHost:", "POST /worker HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc"}) {
+    serve({kMaxConnections, kUserShare});
+    RawClients unfinished;
+    for (std::size_t i = 0; i < kMaxConnections; ++i) {
+      unfinished.push_back(std::make_unique<RawClient>(io, server->local()));
+      unfinished.back()->send(bytes);
+      io.run_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_EQ(get(new_client(), "/worker").status, 200) << bytes;
+    EXPECT_EQ(get(new_client(), "/user").status, 200) << bytes;
+    EXPECT_EQ(get(new_client(), "/up").status, 200) << bytes;
+  }
+}
+
 TEST_F(HttpServerLimits, AtConnectionLimitClosesLongestIdleConnection) {
   serve({2, 2});
   RawClient first(io, server->local());
