A refused user's connection stays open, so that the load balancer counts it

Cause: the 503 for too many users closed the connection. The load balancer prefers controllers with few open connections, so the one that refused appeared to be the emptiest and got all new users, while the other one might have had room.

The connection is kept: it counts for the load balancer, and being idle it is closed as soon as another one needs its place. /up stays 200 at the limit: a controller that is full still serves as many as it can, and if it said otherwise the connections of all those would be reset and go to the next one (docs/design.md).

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -130,9 +130,11 @@
     if (query != std::string::npos) request_.query = target_.substr(query + 1);
     const bool from_user = server_->is_user_(request_);
     move_to(from_user ? ConnectionGroup::kUsers : ConnectionGroup::kOthers);
+    // The connection stays open: the load balancer prefers controllers with few open connections, and would
+    // send all new users to one that closes the connections of those that it refuses.
     if (from_user && !begin_user_request())
       return send({status::kServiceUnavailable, R"({"error":"too many requests at the same time"})",
-                   kRetryAfterSeconds, true});
+                   kRetryAfterSeconds, false});
     server_->handler_(std::move(request_), [weak = weak_from_this(),
                                             request_number = ++request_number_](const Response& response) {
       auto self = weak.lock();
--- a/tests/http_server_limits_test.cpp
+++ b/tests/http_server_limits_test.cpp
@@ -179,6 +179,17 @@
   EXPECT_EQ(get(new_client(), "/user").status, 200);
 }
 
+// The load balancer prefers the controller with the fewest open connections. One that closes the connections
+// of those that it refuses appears to have few, and would be sent all new users.
+TEST_F(HttpServerLimits, RefusedUsersKeepTheirConnection) {
+  for (std::size_t i = 0; i < kUserShare; ++i) hold_user_request();
+  RawClient refused(io, server->local());
+  EXPECT_EQ(refused.get("/user"), 503);
+  release();
+  EXPECT_EQ(refused.get("/user"), 200);
+  EXPECT_FALSE(refused.closed());
+}
+
 // A flood of new connections of users closed the connections of workers, which were idle between two
 // heartbeats, one after the other.
 TEST_F(HttpServerLimits, FloodOfUsersLeavesWorkersTheirConnections) {
