A task counts as gone only once its machine refuses copies of its start

What callers would see: a task runs on two machines at once. A machine is back under its own name within a second, and its incarnation, sequence and token begin with their first values. The task that it ran is started on another machine; a late copy of the first start command, executed and answered before the restart, then starts it on the first one as well.

Cause: copies are refused by token, but nothing ensured that a higher token than that of the start had been issued when a task was taken for gone. An unlisted task, and one whose lease had expired, left the machine's token where it was if the start was the last batch. A worker that has lost its token accepts the one that it is answered with, and with it the copy.

Fix: each task knows the token of its start. Dropping a task raises the machine's token above it; and an acknowledged task that a heartbeat no longer lists is dropped only once the worker has reported a higher token. By the protocol a worker removes a task only by a command, whose batch has a higher token, so nothing is delayed unless the worker has restarted; acknowledged_tasks_missing (info) tells.

--- a/src/shard/command_delivery.cpp
+++ b/src/shard/command_delivery.cpp
@@ -48,15 +48,15 @@
 std::optional<CommandBatch> CommandDelivery::command_batch(Machine& machine) {
   if (machine.channel != Machine::Channel::kIdle || !machine.confirmed) return std::nullopt;
   drop_cancelled_starts(machine);
-  CommandBatch batch{machine.name, machine.address, machine.incarnation, {}, {}};
+  // Each batch has a new token, so that the worker rejects a copy of an earlier batch that arrives late.
+  CommandBatch batch{machine.name, machine.address, machine.incarnation, machine.token.raised(), {}};
   for (auto& [key, task] : machine.tasks) {
     if (batch.commands.size() >= kMaxCommands) break;
-    if (auto command = next_command(machine, key, task)) batch.commands.push_back(std::move(*command));
+    if (auto command = next_command(machine, key, task, batch.token))
+      batch.commands.push_back(std::move(*command));
   }
   if (batch.commands.empty()) return std::nullopt;
-  // Each batch has a new token, so that the worker rejects a copy of an earlier batch that arrives late.
-  machine.token = machine.token.raised();
-  batch.token = machine.token;
+  machine.token = batch.token;
   machine.channel = Machine::Channel::kBusy;
   machine.on_command_sent(now_);
   return batch;
@@ -76,9 +76,10 @@
 }
 
 std::optional<protocol::Command> CommandDelivery::next_command(const Machine& machine, const TaskKey& key,
-                                                               MachineTask& task) const {
+                                                               MachineTask& task, FencingToken token) const {
   if (task.start == Start::kQueued) {
     task.start = Start::kSent;
+    task.start_token = token;
     return protocol::Command{Op::kStart, key.task, key.attempt, 0};
   }
   if (task.start == Start::kAcknowledged && is_stop_due(task)) {
@@ -139,7 +140,7 @@
       continue;
     }
     auto key = task->first;
-    state_.locations.drop(machine, task);
+    state_.drop_task(machine, task);
     machine.invalidate_load();
     state_.requeue(key, now_);
   }
--- a/src/shard/command_delivery.h
+++ b/src/shard/command_delivery.h
@@ -45,8 +45,9 @@
  private:
   void drop_cancelled_starts(Machine& machine);
   std::optional<CommandBatch> command_batch(Machine& machine);
-  std::optional<protocol::Command> next_command(const Machine& machine, const TaskKey& key,
-                                                MachineTask& task) const;
+  // `token`: that of the batch for which the command is meant.
+  std::optional<protocol::Command> next_command(const Machine& machine, const TaskKey& key, MachineTask& task,
+                                                FencingToken token) const;
   CommandBatch probe_batch(Machine& machine);
   void on_executed(Machine& machine, const CommandBatch& batch);
   void on_rejected(Machine& machine, const CommandBatch& batch);
--- a/src/shard/gang_scheduling.cpp
+++ b/src/shard/gang_scheduling.cpp
@@ -23,7 +23,7 @@
                     const std::vector<PlacedMember>& members) {
   for (const auto& [index, machine] : members) {
     auto& granted_task = job.granted_tasks.at(index);
-    state.locations.drop(*machine, machine->tasks.find({TaskId{id, index}, granted_task.attempt}));
+    state.drop_task(*machine, machine->tasks.find({TaskId{id, index}, granted_task.attempt}));
     machine->invalidate_load();
     granted_task.status = GrantedTask::Status::kWaiting;
     granted_task.started = false;
--- a/src/shard/heartbeat_reconciler.cpp
+++ b/src/shard/heartbeat_reconciler.cpp
@@ -117,16 +117,31 @@
     task.last_listed = state_.heartbeat_count;
     update_task(machine, key, task, status);
   }
-  // A start that is queued or in flight may still be executed, so the absence of its task from a heartbeat
-  // proves nothing.
+  drop_unlisted_tasks(machine, heartbeat);
+  machine.invalidate_load();
+  if (machine.live_task_count() > 0) machine.idle_since = now_;
+}
+
+// A start that is queued or in flight may still be executed, so the absence of its task from a heartbeat
+// proves nothing. A task whose start was acknowledged is only missing if the worker has removed it by
+// command, which came with a higher token, or has restarted. In the latter case a late copy of the start
+// command would be executed, so the task is kept until the worker has seen a higher token.
+void HeartbeatReconciler::drop_unlisted_tasks(Machine& machine, const protocol::WorkerHeartbeat& heartbeat) {
+  bool copies_executable = false;
   state_.drop_tasks_if(
       machine,
       [&](const TaskKey&, const MachineTask& task) {
-        return task.start == MachineTask::Start::kAcknowledged && task.last_listed != state_.heartbeat_count;
+        if (task.start != MachineTask::Start::kAcknowledged || task.last_listed == state_.heartbeat_count)
+          return false;
+        if (heartbeat.token > task.start_token) return true;
+        copies_executable = true;
+        return false;
       },
       now_);
-  machine.invalidate_load();
-  if (machine.live_task_count() > 0) machine.idle_since = now_;
+  if (!copies_executable || machine.channel != Machine::Channel::kIdle) return;
+  spdlog::info("acknowledged_tasks_missing shard={} machine={} incarnation={} sequence={}", state_.id.value(),
+               machine.name.value(), heartbeat.incarnation.value(), heartbeat.sequence.value());
+  begin_fencing(machine, state_.dispatch_queue, now_);
 }
 
 void HeartbeatReconciler::update_task(Machine& machine, const TaskKey& key, MachineTask& task,
--- a/src/shard/heartbeat_reconciler.h
+++ b/src/shard/heartbeat_reconciler.h
@@ -41,6 +41,8 @@
                       bool lease_expired);
   void update_reclaim_notice(Machine& machine, const protocol::WorkerHeartbeat& heartbeat) const;
   void update_tasks(Machine& machine, const protocol::WorkerHeartbeat& heartbeat);
+  // Drops the tasks that the heartbeat, which was just applied, doesn't list.
+  void drop_unlisted_tasks(Machine& machine, const protocol::WorkerHeartbeat& heartbeat);
   void update_task(Machine& machine, const TaskKey& key, MachineTask& task,
                    const protocol::TaskStatus& status);
   bool is_outdated(const GrantedTask& granted_task, const TaskId& id, const Machine& machine,
--- a/src/shard/machine.h
+++ b/src/shard/machine.h
@@ -48,6 +48,9 @@
   std::optional<double> stop_grace;  // if set, the task is to be stopped within this many seconds
   // Grace in seconds of the last stop command. Reset if the worker rejected the command or may have lost it.
   std::optional<double> sent_stop_grace;
+  // Token of the batch that contained the start command; 0 if it was not sent yet, or by an earlier leader. A
+  // worker that has seen a higher token refuses copies of that batch.
+  FencingToken start_token;
   bool is_disposable = false;  // ended, and its result is recorded durably or not needed
   bool forget_sent = false;
   // Number of the last heartbeat that listed the task, see ShardState::heartbeat_count.
--- a/src/shard/shard_state.cpp
+++ b/src/shard/shard_state.cpp
@@ -69,6 +69,11 @@
   jobs.mark_waiting(key.task.job);
 }
 
+TaskLocations::TaskIterator ShardState::drop_task(Machine& machine, TaskLocations::TaskIterator task) {
+  machine.token = std::max(machine.token, task->second.start_token.raised());
+  return locations.drop(machine, task);
+}
+
 void ShardState::drop_all_tasks(Machine& machine, Instant now) {
   drop_tasks_if(
       machine, [](const TaskKey&, const MachineTask&) { return true; }, now);
--- a/src/shard/shard_state.h
+++ b/src/shard/shard_state.h
@@ -40,6 +40,10 @@
   void stop_job(const JobId& id, double grace, StopReason reason);
   // To be called when the attempt is no longer on its machine. The granted task can then be placed again.
   void requeue(const TaskKey& key, Instant now);
+  // Removes the task, which is no longer on the machine. Raises the machine's token if copies of the task's
+  // start command could still be executed under it: after a restart the worker accepts whatever token it
+  // receives first, and the task may run elsewhere by then. Returns an iterator to the following task.
+  TaskLocations::TaskIterator drop_task(Machine& machine, TaskLocations::TaskIterator task);
   // Drops and requeues the tasks of the machine for which drops(key, task) returns true.
   template <class Predicate>
   void drop_tasks_if(Machine& machine, Predicate drops, Instant now);
@@ -95,7 +99,7 @@
       continue;
     }
     auto key = it->first;
-    it = locations.drop(machine, it);
+    it = drop_task(machine, it);
     requeue(key, now);
     dropped = true;
   }
