A machine that is back within a second is noticed by its answers

What callers would see: the tasks of a machine that is back under its own name within a second, with its incarnation, sequence and token reset, are not started again until the machine is deleted for silence; if a whole zone restarts, it counts as partitioned, nothing is deleted, and its machines stay unusable. What a late copy of a start command starts on such a machine runs on unnoticed, also if its job is cancelled.

Cause: the heartbeats after the restart have lower numbers than those before, so each was dropped as a late copy, and yet answered.

Fix: the answer to commands or a probe is sent after the newest heartbeat known when these were sent, so lower numbers in it show a restart (worker_restarted, info). Heartbeats alone can't show it: a late copy looks the same. A machine from which only stale heartbeats arrive is therefore probed, however many there are in its zone. After a restart the fence is raised, and the heartbeat that carries it is the first that counts, whatever its numbers; what has a lower token than one reported before is a late copy from before the restart.

What stays possible by the protocol: a copy that reaches the worker before it has heard from any controller is executed, as its token and session match those of a new worker.

--- a/src/shard/command_channel.cpp
+++ b/src/shard/command_channel.cpp
@@ -36,6 +36,14 @@
   if (!machine.suspected_since) machine.suspected_since = now;
 }
 
+void on_worker_restarted(Machine& machine, DispatchQueue& queue, Instant now) {
+  const bool fenced = machine.restart_detected && machine.channel == Machine::Channel::kFencing;
+  machine.restart_detected = true;
+  if (fenced || machine.channel == Machine::Channel::kBusy) return;
+  machine.channel = Machine::Channel::kIdle;  // fencing that began before the restart needs a new token
+  begin_fencing(machine, queue, now);
+}
+
 void resolve_in_flight(Machine& machine, DispatchQueue& queue) {
   queue.push(machine);
   machine.channel = Machine::Channel::kIdle;
--- a/src/shard/command_channel.h
+++ b/src/shard/command_channel.h
@@ -35,6 +35,10 @@
 // while a batch is in flight, because its result shows whether the worker receives commands.
 void begin_fencing(Machine& machine, DispatchQueue& queue, Instant now);
 
+// Records that the worker has restarted, and raises the machine's fencing token, which distinguishes the
+// worker's heartbeats from late copies of those before the restart.
+void on_worker_restarted(Machine& machine, DispatchQueue& queue, Instant now);
+
 // Ends fencing. To be called once the worker has reported the fencing token: it then executes no earlier
 // batch any more, so each unanswered command has either been executed or never will be.
 void resolve_in_flight(Machine& machine, DispatchQueue& queue);
--- a/src/shard/command_delivery.cpp
+++ b/src/shard/command_delivery.cpp
@@ -42,14 +42,17 @@
   machine.last_probe_at = now_;
   machine.probe_in_flight = true;
   machine.on_command_sent(now_);
-  return {machine.name, machine.address, std::max(machine.incarnation, Incarnation(1)), machine.token, {}};
+  return {
+      machine.name,        machine.address, std::max(machine.incarnation, Incarnation(1)), machine.token, {},
+      machine.incarnation, machine.sequence};
 }
 
 std::optional<CommandBatch> CommandDelivery::command_batch(Machine& machine) {
   if (machine.channel != Machine::Channel::kIdle || !machine.confirmed) return std::nullopt;
   drop_cancelled_starts(machine);
   // Each batch has a new token, so that the worker rejects a copy of an earlier batch that arrives late.
-  CommandBatch batch{machine.name, machine.address, machine.incarnation, machine.token.raised(), {}};
+  CommandBatch batch{machine.name, machine.address,     machine.incarnation, machine.token.raised(),
+                     {},           machine.incarnation, machine.sequence};
   for (auto& [key, task] : machine.tasks) {
     if (batch.commands.size() >= kMaxCommands) break;
     if (auto command = next_command(machine, key, task, batch.token))
--- a/src/shard/command_delivery.h
+++ b/src/shard/command_delivery.h
@@ -16,6 +16,15 @@
   Incarnation incarnation;
   FencingToken token;
   std::vector<protocol::Command> commands;
+  // Incarnation and sequence number of the newest heartbeat that was known when the batch was sent.
+  Incarnation known_incarnation = {};
+  Sequence known_sequence = {};
+
+  // Whether the answer to this batch shows that the worker has restarted: it was sent after that heartbeat,
+  // but has no higher numbers. Unlike an unsolicited heartbeat, it can't be a late copy of an earlier one.
+  bool shows_restart(const protocol::WorkerHeartbeat& answer) const {
+    return !answer.is_newer_than(known_incarnation, known_sequence);
+  }
 };
 
 enum class CommandResult { kExecuted, kRejected, kNoAnswer };
--- a/src/shard/heartbeat_reconciler.cpp
+++ b/src/shard/heartbeat_reconciler.cpp
@@ -41,12 +41,17 @@
   if (state_.terminated.contains(heartbeat.machine) || is_of_later_term(heartbeat))
     return HeartbeatResult::kDropped;
   auto& machine = find_or_add_machine(heartbeat);
-  if (!heartbeat.is_newer_than(machine.incarnation, machine.sequence)) {
+  if (is_stale(machine, heartbeat)) {
     spdlog::debug("heartbeat_dropped shard={} machine={} incarnation={} sequence={} reason=stale",
                   state_.id.value(), machine.name.value(), heartbeat.incarnation.value(),
                   heartbeat.sequence.value());
+    if (origin == HeartbeatOrigin::kUnsolicited) probe_if_only_stale(machine);
     return HeartbeatResult::kDropped;
   }
+  if (machine.restart_detected) {
+    machine.restart_detected = false;
+    resolve_in_flight(machine, state_.dispatch_queue);
+  }
   bool lease_expired = heartbeat.incarnation != machine.incarnation;
   if (lease_expired) on_new_incarnation(machine);
   update_contact(machine, heartbeat, origin, lease_expired);
@@ -60,6 +65,18 @@
   return HeartbeatResult::kApplied;
 }
 
+bool HeartbeatReconciler::is_stale(const Machine& machine, const protocol::WorkerHeartbeat& heartbeat) {
+  if (machine.restart_detected)
+    return machine.channel != Machine::Channel::kFencing || heartbeat.token < machine.token;
+  return heartbeat.token < machine.reported_token ||
+         !heartbeat.is_newer_than(machine.incarnation, machine.sequence);
+}
+
+void HeartbeatReconciler::probe_if_only_stale(Machine& machine) {
+  if (now_ - machine.last_contact <= state_.failure_detector.suspicion_timeout()) return;
+  if (machine.can_be_probed()) request_probe(machine, state_.dispatch_queue, now_);
+}
+
 void HeartbeatReconciler::on_new_incarnation(Machine& machine) {
   if (!machine.tasks.empty())
     spdlog::info("lease_expired shard={} machine={} count={} reason=new_incarnation", state_.id.value(),
@@ -82,6 +99,7 @@
   if (origin == HeartbeatOrigin::kUnsolicited) machine.last_unsolicited_heartbeat = now_;
   machine.reset_unanswered();
   machine.token = std::max(machine.token, heartbeat.token);
+  machine.reported_token = std::max(machine.reported_token, heartbeat.token);
   // The machine sends heartbeats, but possibly receives nothing.
   if (machine.confirmed && origin == HeartbeatOrigin::kUnsolicited && (lease_expired || missed_answer))
     begin_fencing(machine, state_.dispatch_queue, now_);
--- a/src/shard/heartbeat_reconciler.h
+++ b/src/shard/heartbeat_reconciler.h
@@ -32,6 +32,12 @@
  private:
   Machine& find_or_add_machine(const protocol::WorkerHeartbeat& heartbeat);
   bool is_of_later_term(const protocol::WorkerHeartbeat& heartbeat);
+  // Whether the heartbeat is no newer than what is known of the machine, or was sent by its worker before a
+  // restart.
+  static bool is_stale(const Machine& machine, const protocol::WorkerHeartbeat& heartbeat);
+  // Probes a machine from which only stale heartbeats arrive: its worker may have restarted, which the answer
+  // to the probe shows.
+  void probe_if_only_stale(Machine& machine);
   // Drops all tasks known of the machine: a new incarnation runs none of the tasks of the previous one.
   void on_new_incarnation(Machine& machine);
   // Whether the pause before this heartbeat suggests that the worker waited in vain for the answer to its
--- a/src/shard/machine.h
+++ b/src/shard/machine.h
@@ -110,6 +110,11 @@
   // ---- From heartbeats
   Incarnation incarnation;
   Sequence sequence;
+  // The highest token that a heartbeat has reported. A worker never forgets it unless it restarts.
+  FencingToken reported_token;
+  // The worker has restarted, and numbers its incarnations and heartbeats from the beginning. The next
+  // heartbeat that is applied is one with a token issued after the restart was noticed, whatever its numbers.
+  bool restart_detected = false;
   // The worker has reported this leader's term in a heartbeat, so it no longer obeys any earlier leader.
   bool confirmed = false;
   Instant first_seen{};  // when this leader learned of the machine
--- a/src/shard/shard_manager.cpp
+++ b/src/shard/shard_manager.cpp
@@ -179,11 +179,21 @@
   if (!machine) return;
   CommandDelivery delivery(state_, now);
   delivery.on_result(*machine, batch, result);
-  if (heartbeat && heartbeat->machine == batch.machine)
-    HeartbeatReconciler(state_, now).reconcile(*heartbeat, HeartbeatOrigin::kCommandAnswer);
+  if (heartbeat && heartbeat->machine == batch.machine) on_answer(*machine, batch, *heartbeat, now);
   if (batch.commands.empty()) delivery.schedule_next_probe(*machine, batch);
 }
 
+void ShardManager::on_answer(Machine& machine, const Batch& batch, const protocol::WorkerHeartbeat& answer,
+                             Instant now) {
+  if (batch.shows_restart(answer)) {
+    if (!machine.restart_detected)
+      spdlog::info("worker_restarted shard={} machine={} incarnation={} sequence={}", state_.id.value(),
+                   machine.name.value(), answer.incarnation.value(), answer.sequence.value());
+    on_worker_restarted(machine, state_.dispatch_queue, now);
+  }
+  HeartbeatReconciler(state_, now).reconcile(answer, HeartbeatOrigin::kCommandAnswer);
+}
+
 // ---------------------------------------------------------------- machines
 
 RegistryState::RecordsByBucket ShardManager::registry_buckets_to_write() {
--- a/src/shard/shard_manager.h
+++ b/src/shard/shard_manager.h
@@ -112,6 +112,8 @@
   std::uint64_t visited_count() const { return state_.visited_count + state_.locations.visited_count(); }
 
  private:
+  // Applies the heartbeat in the answer to a batch.
+  void on_answer(Machine& machine, const Batch& batch, const protocol::WorkerHeartbeat& answer, Instant now);
   void apply_to_listed_tasks(const JobId& id, ShardJob& job, Instant now);
   void run_periodic_checks(Instant now, Instant up_to_date_at);
 
--- a/tests/late_copies_test.cpp
+++ b/tests/late_copies_test.cpp
@@ -108,6 +108,30 @@
   }
 };
 
+// The worker's first heartbeats after the restart have lower numbers than those before it. A copy may start
+// the task on the machine that it is still assigned to, which does no harm.
+TEST_F(RestartedMachine, ItsTaskRunsAgainSoon) {
+  auto& first = start_task();
+  advance(60);
+  restart(first);
+  advance(4);
+  EXPECT_EQ(running(), 1u);
+}
+
+// All machines of a zone restart: the shard's leader must not take that for a partition.
+TEST_F(RestartedMachine, AllMachinesOfAZoneAreUsableAgainSoon) {
+  for (const char* name : {"c", "d", "e", "f"}) workers[name].state = fixture::new_worker(name, Zone("east"));
+  lead(kFirstTerm + 1);
+  advance(2);
+  start_task();
+  advance(60);
+  copies_held = true;
+  for (auto& [name, worker] : workers) worker.restart(now);
+  advance(6);
+  for (const auto& [name, machine] : shard->machines()) EXPECT_TRUE(machine.usable(at(now))) << name.value();
+  EXPECT_EQ(running(), 1u);
+}
+
 // The worker has sent few heartbeats before the restart, so those after it soon have higher numbers.
 TEST_F(RestartedMachine, AfterTheTaskMovedAway) {
   auto& first = start_task();
@@ -154,6 +178,21 @@
   EXPECT_EQ(started_by_copies, 0u);
 }
 
+// A copy that reaches the worker before anything else does is executed. Nothing the shard's leader has sent
+// can prevent that, but the task is stopped as soon as the restart is noticed.
+TEST_F(RestartedMachine, StopsWhatACopyStartedBeforeItsFirstContact) {
+  auto& worker = start_task();
+  advance(30);
+  cancel();
+  advance(3);
+  EXPECT_EQ(running(), 0u);
+  worker.restart(now);
+  worker.execute(worker.executed.front());
+  EXPECT_EQ(worker.live_tasks(), 1u);
+  advance(4);
+  EXPECT_EQ(running(), 0u);
+}
+
 // The machine's record is dropped because the cloud confirmed its deletion. A machine that appears under its
 // name afterwards gets nothing in this term, and is a new machine in the next.
 TEST_F(RestartedMachine, AfterItsRecordWasDroppedAndRecreated) {
