--- a/tests/fakes/worker.cpp
+++ b/tests/fakes/worker.cpp
@@ -46,6 +46,7 @@
   if (commands["helm"].get<std::uint64_t>() < token || commands["watch"] != 1)
     return {409, heartbeat_body().dump()};
   token = commands["helm"].get<std::uint64_t>();
+  executed_commands.push_back(request.body);
   for (auto& command : commands["signals"]) {
     auto id = command["lamp"].get<std::string>();
     auto attempt = command["launch"].get<std::uint64_t>();
--- a/tests/fakes/worker.h
+++ b/tests/fakes/worker.h
@@ -29,9 +29,10 @@
   std::vector<Task> tasks;
   std::set<std::string> services;  // ids of the jobs whose tasks never complete
   int heartbeats_until_done = 3;
-  int started = 0;          // tasks started
-  int answered = 0;         // heartbeats that a shard leader with a current fencing token answered
-  std::uint64_t token = 0;  // the highest fencing token seen
+  int started = 0;   // tasks started
+  int answered = 0;  // heartbeats that a shard leader with a current fencing token answered
+  std::vector<std::string> executed_commands;  // bodies of the command requests that were executed
+  std::uint64_t token = 0;                     // the highest fencing token seen
   std::shared_ptr<HttpServer> server;
 
  private:
